--- /dev/null
+++ b/crates/rhubarblanding_core/src/error.rs
@@ -0,0 +1,181 @@
+//! The closed list of error kinds and the table from each kind to its answer.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+/// Whether a request ran at a backend server.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumIter,
+    EnumString,
+    IntoStaticStr,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum RunState {
+    /// It did not run and will not run.
+    NotRun,
+    /// It may have run, or may still be running.
+    Unknown,
+    /// It ran.
+    Ran,
+}
+
+/// What a caller may do after an error.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Display, IntoStaticStr,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum RetryAdvice {
+    /// Do not send it again as it is.
+    Never,
+    /// Send it again after the time given.
+    After,
+    /// Send it again with the same idempotency key after the time given, to learn the outcome.
+    SameKeyAfter,
+}
+
+/// What callers and counters see of an error kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status code.
+    pub status: u16,
+    /// Whether the request ran.
+    pub run_state: RunState,
+    /// What the caller may do.
+    pub advice: RetryAdvice,
+    /// Name of the counter.
+    pub counter: &'static str,
+    /// One sentence for the caller.
+    pub message: &'static str,
+}
+
+macro_rules! error_kinds {
+    ($($(#[$doc:meta])* $kind:ident => $status:literal, $run:ident, $advice:ident, $counter:literal, $message:literal;)*) => {
+        /// Every reason for which the system itself answers a request.
+        #[derive(
+            Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumIter,
+            EnumString, IntoStaticStr,
+        )]
+        #[serde(rename_all = "snake_case")]
+        #[strum(serialize_all = "snake_case")]
+        pub enum ErrorKind {
+            $($(#[$doc])* $kind,)*
+        }
+
+        impl ErrorKind {
+            /// The answer that belongs to this kind.
+            pub fn answer(self) -> Answer {
+                match self {
+                    $(Self::$kind => Answer {
+                        status: $status,
+                        run_state: RunState::$run,
+                        advice: RetryAdvice::$advice,
+                        counter: $counter,
+                        message: $message,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+error_kinds! {
+    /// The request is malformed.
+    InvalidRequest => 400, NotRun, Never, "refused.invalid_request", "The request is malformed.";
+    /// The idempotency key is not a UUID of version 7.
+    InvalidKey => 400, NotRun, Never, "refused.invalid_key", "The idempotency key must be a UUID of version 7.";
+    /// The idempotency key was minted later than the node's clock allows.
+    KeyFromFuture => 400, NotRun, Never, "refused.key_from_future", "The idempotency key was minted in the future; check the caller's clock.";
+    /// The idempotency key belongs to another request.
+    KeyConflict => 422, NotRun, Never, "refused.key_conflict", "The idempotency key was used for a different request.";
+    /// No ticket names the service.
+    UnknownService => 404, NotRun, Never, "refused.unknown_service", "No such service.";
+    /// The body is larger than allowed for its kind.
+    BodyTooLarge => 413, NotRun, Never, "refused.body_too_large", "The request body is too large.";
+    /// The target's node sheds load of this priority.
+    Overloaded => 503, NotRun, After, "refused.overloaded", "Shed because of overload.";
+    /// An entry node sheds load because a service further down is overloaded.
+    UpstreamOverloaded => 503, NotRun, After, "refused.upstream_overloaded", "Shed because a service of the chain is overloaded.";
+    /// The request waited in the queue for too long.
+    QueueTimeout => 503, NotRun, After, "refused.queue_timeout", "Shed after waiting in the queue.";
+    /// The caller's rate of early repeats is limited.
+    CallerThrottled => 429, NotRun, After, "refused.caller_throttled", "Repeated before the time given.";
+    /// The deadline passed, or cannot be met, before the request ran.
+    DeadlineBeforeRun => 504, NotRun, After, "refused.deadline_before_run", "The deadline cannot be met.";
+    /// The deadline passed while the request may have been running.
+    DeadlineExceeded => 504, Unknown, SameKeyAfter, "refused.deadline_exceeded", "The deadline passed before the answer came.";
+    /// No target of the service takes requests.
+    NoTarget => 503, NotRun, After, "refused.no_target", "No target of the service takes requests.";
+    /// The target is leaving.
+    TargetDraining => 503, NotRun, After, "refused.target_draining", "The target is leaving.";
+    /// The node is stopping.
+    NodeDraining => 503, NotRun, After, "refused.node_draining", "The node is stopping.";
+    /// No connection could be opened.
+    ConnectFailed => 503, NotRun, After, "refused.connect_failed", "No connection to the target.";
+    /// The connection broke after the request may have been sent.
+    ConnectionLost => 502, Unknown, SameKeyAfter, "refused.connection_lost", "The connection to the target was lost.";
+    /// The backend server refused the request without running it.
+    BackendShed => 503, NotRun, After, "refused.backend_shed", "Shed by the backend server.";
+    /// The key was dispatched before and its outcome is not known.
+    OutcomeUnknown => 409, Unknown, SameKeyAfter, "refused.outcome_unknown", "The outcome of this idempotency key is not known.";
+    /// The key is running at present.
+    KeyInProgress => 409, Unknown, SameKeyAfter, "refused.key_in_progress", "The idempotency key is running.";
+    /// The nodes that decide on the key cannot be reached.
+    HomeUnavailable => 503, NotRun, After, "refused.home_unavailable", "The nodes that decide on this idempotency key cannot be reached.";
+    /// The node that was asked does not decide on the key.
+    HomeMoved => 503, NotRun, After, "refused.home_moved", "Another node decides on this idempotency key.";
+    /// The answer was recorded but is too large to be repeated.
+    AnswerNotKept => 409, Ran, Never, "refused.answer_not_kept", "The request ran; its answer is not kept.";
+    /// A fault of the system itself.
+    Internal => 500, Unknown, SameKeyAfter, "refused.internal", "A fault of the system.";
+}
+
+impl std::error::Error for ErrorKind {}
+
+/// An error kind together with when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Why the request is refused.
+    pub kind: ErrorKind,
+    /// How long the caller should wait before it sends the request again.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Refusal without a time to come back.
+    pub fn new(kind: ErrorKind) -> Self {
+        Self {
+            kind,
+            retry_after: None,
+        }
+    }
+
+    /// Refusal with a time to come back.
+    pub fn with_retry_after(kind: ErrorKind, retry_after: Duration) -> Self {
+        Self {
+            kind,
+            retry_after: Some(retry_after),
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.kind.answer().message)
+    }
+}
+
+impl std::error::Error for Refusal {}
--- /dev/null
+++ b/crates/rhubarblanding_core/src/importance.rs
@@ -0,0 +1,115 @@
+//! Importance of requests and the admission level derived from it.
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+use crate::ids::RootId;
+
+/// How much a request matters, decided once at the root and inherited by the whole chain.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumIter,
+    EnumString,
+    IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+#[repr(u8)]
+pub enum Importance {
+    /// Work that may wait, shed first.
+    Background = 0,
+    /// Ordinary work.
+    #[default]
+    Normal = 1,
+    /// Work ahead of the ordinary.
+    High = 2,
+    /// Work that is shed last.
+    Critical = 3,
+}
+
+/// Whether running a request twice has the effect of running it once.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumIter,
+    EnumString,
+    IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Idempotency {
+    /// May be sent again.
+    Idempotent,
+    /// Must run at most once.
+    NonIdempotent,
+}
+
+/// Importance joined with a hash of the root request, so that a whole chain gets one verdict.
+///
+/// A higher value is admitted before a lower one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Priority(u16);
+
+impl Priority {
+    /// Number of steps within one importance.
+    pub const STEPS: u16 = 256;
+
+    /// Priority of a chain with the given importance and root.
+    pub fn new(importance: Importance, root: RootId) -> Self {
+        let step = (crate::collections::stable_hash(0, &root.0.to_le_bytes()) & 0xff) as u16;
+        Self(importance as u16 * Self::STEPS + step)
+    }
+
+    /// The importance that this priority was made from.
+    pub fn importance(self) -> Importance {
+        match self.0 / Self::STEPS {
+            0 => Importance::Background,
+            1 => Importance::Normal,
+            2 => Importance::High,
+            _ => Importance::Critical,
+        }
+    }
+
+    /// Position on the scale on which an [`AdmissionLevel`] is set.
+    pub fn value(self) -> u16 {
+        self.0
+    }
+}
+
+/// Lowest priority that is admitted at present.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct AdmissionLevel(pub u16);
+
+impl AdmissionLevel {
+    /// Level at which everything is admitted.
+    pub const OPEN: Self = Self(0);
+    /// Highest level: the top step of the highest importance is still admitted.
+    pub const MAX: Self = Self(4 * Priority::STEPS - 1);
+
+    /// Whether a request of `priority` is admitted at this level.
+    pub fn admits(self, priority: Priority) -> bool {
+        priority.0 >= self.0
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_core/src/timer.rs
@@ -0,0 +1,81 @@
+//! Timer service: parts subscribe an event for a point in time and get it back when it is due.
+//!
+//! The service holds no clock. Its owner calls [`TimerService::expire`] with the current time and
+//! sleeps until [`TimerService::next_due`].
+
+use std::collections::BTreeMap;
+
+use crate::time::MonoTime;
+
+/// Key of one subscription.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TimerKey {
+    due: MonoTime,
+    serial: u64,
+}
+
+/// Events waiting for their time.
+#[derive(Clone, Debug)]
+pub struct TimerService<E> {
+    pending: BTreeMap<TimerKey, E>,
+    next_serial: u64,
+}
+
+impl<E> Default for TimerService<E> {
+    fn default() -> Self {
+        Self {
+            pending: BTreeMap::new(),
+            next_serial: 0,
+        }
+    }
+}
+
+impl<E> TimerService<E> {
+    /// Creates a service without subscriptions.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Subscribes `event` for `due`.
+    pub fn subscribe(&mut self, due: MonoTime, event: E) -> TimerKey {
+        let key = TimerKey {
+            due,
+            serial: self.next_serial,
+        };
+        self.next_serial += 1;
+        self.pending.insert(key, event);
+        key
+    }
+
+    /// Takes back a subscription and returns its event, unless it was due already.
+    pub fn cancel(&mut self, key: TimerKey) -> Option<E> {
+        self.pending.remove(&key)
+    }
+
+    /// Removes and returns the events that are due at `now`, earliest first.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<E> {
+        let mut due = Vec::new();
+        while let Some(entry) = self.pending.first_entry() {
+            if entry.key().due > now {
+                break;
+            }
+            due.push(entry.remove());
+        }
+        due
+    }
+
+    /// Time of the earliest subscription.
+    pub fn next_due(&self) -> Option<MonoTime> {
+        self.pending.keys().next().map(|key| key.due)
+    }
+
+    /// Number of subscriptions.
+    pub fn len(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Whether there is no subscription.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership by gossip: announcement, failure detection and spreading of state.
--- /dev/null
+++ b/crates/rhubarblanding_node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node daemon: listeners, peer connections, runtime, metrics and logs.
--- /dev/null
+++ b/crates/rhubarblanding_once/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of non-idempotent requests by idempotency key.
--- /dev/null
+++ b/crates/rhubarblanding_tickets/src/lib.rs
@@ -0,0 +1,1 @@
+//! Change tickets: the document, its checks, submission and adoption.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! Umbrella crate of rhubarblanding.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `rhubarblanding` command.
+
+fn main() {}
--- /dev/null
+++ b/tools/measure/src/main.rs
@@ -0,0 +1,3 @@
+//! Measurements of goodput, recovery, latency and control cost.
+
+fn main() {}
--- /dev/null
+++ b/tools/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for tests: platform store, backend server, caller load and TCP relay.
--- /dev/null
+++ b/tools/standins/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-in programs for tests.
+
+fn main() {}
