Add retry allowance, admission gate and target selection

Cause: the node needs decisions on retries, shedding and targets that take time and input as arguments, so that they can be fuzzed and run side by side.

Ruled out: a retry budget per layer, which multiplies over the layers; allowances that are copied to each call; a learned limit that follows latency alone, because latency also rises when the backend server itself is slow.

Conclusion: the public interface is in place.

--- /dev/null
+++ b/crates/rhubarblanding_admission/src/gate/state.rs
@@ -0,0 +1,316 @@
+//! State machine of a gate.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rhubarblanding_core::prelude::*;
+
+use super::estimate::Estimates;
+use super::level::LevelControl;
+use super::queue::{Queue, Queued};
+use super::{Arrival, Decision, Finish, FinishResult, GateEvent, GateSettings, KindId};
+use crate::limit::{LimitControl, Sample};
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    kind: KindId,
+    since: MonoTime,
+}
+
+/// Gate in front of one backend server.
+///
+/// Call [`poll`](Self::poll) after every other call and whenever [`next_due`](Self::next_due) has
+/// come: it returns the verdicts on queued requests.
+#[derive(Debug)]
+pub struct Gate {
+    settings: GateSettings,
+    rng: SmallRng,
+    limit: LimitControl,
+    level: LevelControl,
+    estimates: Estimates,
+    running: HashMap<u64, Running>,
+    queue: Queue,
+    timers: TimerService<u64>,
+    events: Vec<GateEvent>,
+    draining: bool,
+}
+
+impl Gate {
+    /// Creates a gate for a backend server that announced `slots`, zero if it did not.
+    pub fn new(now: MonoTime, settings: GateSettings, slots: u32, rng: SmallRng) -> Self {
+        Self {
+            limit: LimitControl::new(now, settings.limit.clone(), slots),
+            level: LevelControl::new(now, settings.window, settings.overload_wait),
+            settings,
+            rng,
+            estimates: Estimates::new(),
+            running: HashMap::default(),
+            queue: Queue::default(),
+            timers: TimerService::new(),
+            events: Vec::new(),
+            draining: false,
+        }
+    }
+
+    /// Decides on a request. Every refusal is final and given at once.
+    pub fn arrive(&mut self, now: MonoTime, arrival: Arrival) -> Decision {
+        self.advance(now);
+        if self.draining {
+            return Decision::Refused(self.refusal(ErrorKind::TargetDraining));
+        }
+        if self.running.contains_key(&arrival.id) || self.queue.contains(arrival.id) {
+            return Decision::Refused(Refusal::new(ErrorKind::Internal));
+        }
+        self.level.arrived(arrival.priority);
+        if self.has_free_slot() {
+            return self.arrive_free(now, arrival);
+        }
+        self.arrive_busy(now, arrival)
+    }
+
+    fn arrive_free(&mut self, now: MonoTime, arrival: Arrival) -> Decision {
+        if !self.can_finish(now, now, &arrival) {
+            return Decision::Refused(self.refusal(ErrorKind::DeadlineBeforeRun));
+        }
+        self.level.idle();
+        self.start(now, arrival, now);
+        Decision::Admitted
+    }
+
+    fn arrive_busy(&mut self, now: MonoTime, arrival: Arrival) -> Decision {
+        if !self.level.level().admits(arrival.priority) {
+            return Decision::Refused(self.refusal(ErrorKind::Overloaded));
+        }
+        let wait = self.expected_wait(now, arrival.priority.importance());
+        if !self.can_finish(now, now + wait, &arrival) {
+            return Decision::Refused(self.refusal(ErrorKind::DeadlineBeforeRun));
+        }
+        if self.queue.len() >= self.queue_len_max(now) && !self.make_room(arrival.priority) {
+            self.level.refused();
+            return Decision::Refused(self.refusal(ErrorKind::Overloaded));
+        }
+        self.enqueue(now, arrival);
+        Decision::Queued
+    }
+
+    /// Records that an admitted request ended.
+    pub fn finished(&mut self, now: MonoTime, id: u64, finish: Finish) {
+        self.advance(now);
+        let in_flight = self.in_flight();
+        let Some(running) = self.running.remove(&id) else {
+            return;
+        };
+        self.estimates.record_slot(now, now.since(running.since));
+        if finish.result == FinishResult::Completed {
+            self.estimates
+                .record_service(now, running.kind, finish.latency);
+        }
+        let sample = Sample {
+            kind: running.kind,
+            admitted_at: running.since,
+            own: finish.latency.saturating_sub(finish.downstream),
+            in_flight,
+            waiting: !self.queue.is_empty(),
+        };
+        match finish.result {
+            FinishResult::Completed => self.limit.completed(now, sample),
+            FinishResult::Shed => self.limit.shed(now, in_flight),
+            FinishResult::Failed => {}
+        }
+        self.fill_slots(now);
+    }
+
+    /// Records that the caller gave up on a request, queued or admitted.
+    pub fn cancelled(&mut self, now: MonoTime, id: u64) {
+        self.advance(now);
+        if let Some(queued) = self.queue.remove(id) {
+            self.timers.cancel(queued.timer);
+        }
+        self.running.remove(&id);
+        self.fill_slots(now);
+    }
+
+    /// Returns the verdicts on queued requests since the last call.
+    pub fn poll(&mut self, now: MonoTime) -> Vec<GateEvent> {
+        self.advance(now);
+        std::mem::take(&mut self.events)
+    }
+
+    /// Time at which [`poll`](Self::poll) has to be called at the latest.
+    pub fn next_due(&self) -> Option<MonoTime> {
+        let timers = self.timers.next_due();
+        [timers, self.level.next_due(), self.limit.next_due()]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// State of the backend server, to be carried back on every answer.
+    pub fn report(&self) -> LoadReport {
+        LoadReport {
+            in_flight: self.in_flight(),
+            queued: self.queue.len() as u32,
+            limit: self.limit.get(),
+            level: self.level.level(),
+            draining: self.draining,
+        }
+    }
+
+    /// Takes over the number of slots that the backend server announced.
+    pub fn set_slots(&mut self, now: MonoTime, slots: u32) {
+        self.advance(now);
+        self.limit.set_slots(now, slots);
+        self.fill_slots(now);
+    }
+
+    /// Refuses what is queued and all that arrives from now on. What runs is not touched.
+    pub fn drain(&mut self, now: MonoTime) {
+        self.advance(now);
+        self.draining = true;
+        for queued in self.queue.take_all() {
+            self.timers.cancel(queued.timer);
+            self.refuse_queued(queued, ErrorKind::TargetDraining);
+        }
+    }
+
+    /// Whether nothing runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.queue.is_empty()
+    }
+
+    fn advance(&mut self, now: MonoTime) {
+        self.limit.advance(now);
+        self.fill_slots(now);
+        for id in self.timers.expire(now) {
+            self.expire(now, id);
+        }
+        if self.level.advance(now) {
+            self.evict_below_level();
+        }
+    }
+
+    fn expire(&mut self, now: MonoTime, id: u64) {
+        let Some(queued) = self.queue.remove(id) else {
+            return;
+        };
+        let in_time = self.can_finish(now, now, &queued.arrival);
+        if in_time {
+            self.level.refused();
+            self.refuse_queued(queued, ErrorKind::QueueTimeout);
+        } else {
+            self.refuse_queued(queued, ErrorKind::DeadlineBeforeRun);
+        }
+    }
+
+    fn evict_below_level(&mut self) {
+        let level = self.level.level();
+        while let Some((priority, id)) = self.queue.lowest()
+            && !level.admits(priority)
+        {
+            self.evict(id);
+        }
+    }
+
+    fn make_room(&mut self, priority: Priority) -> bool {
+        if !self.settings.evict {
+            return false;
+        }
+        match self.queue.lowest() {
+            Some((lowest, id)) if lowest < priority => {
+                self.level.refused();
+                self.evict(id);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn evict(&mut self, id: u64) {
+        if let Some(queued) = self.queue.remove(id) {
+            self.timers.cancel(queued.timer);
+            self.refuse_queued(queued, ErrorKind::Overloaded);
+        }
+    }
+
+    fn refuse_queued(&mut self, queued: Queued, kind: ErrorKind) {
+        let refusal = self.refusal(kind);
+        self.events
+            .push(GateEvent::Refused(queued.arrival.id, refusal));
+    }
+
+    fn enqueue(&mut self, now: MonoTime, arrival: Arrival) {
+        let service = self.estimates.service(now, arrival.kind);
+        let latest_start = arrival.deadline - service;
+        let due = latest_start.min(now + self.settings.queue_wait_max);
+        let queued = Queued {
+            arrival,
+            since: now,
+            timer: self.timers.subscribe(due, arrival.id),
+        };
+        self.queue.push(self.class(arrival.priority), queued);
+    }
+
+    /// Admits queued requests while slots are free.
+    fn fill_slots(&mut self, now: MonoTime) {
+        while self.in_flight() < self.limit.get() {
+            let policy = self.settings.age_policy;
+            let Some(queued) = self.queue.pop(now, policy, self.settings.lifo_after) else {
+                return;
+            };
+            self.timers.cancel(queued.timer);
+            if self.can_finish(now, now, &queued.arrival) {
+                self.start(now, queued.arrival, queued.since);
+                self.events.push(GateEvent::Admitted(queued.arrival.id));
+            } else {
+                self.refuse_queued(queued, ErrorKind::DeadlineBeforeRun);
+            }
+        }
+    }
+
+    fn start(&mut self, now: MonoTime, arrival: Arrival, since: MonoTime) {
+        self.level.admitted(now.since(since));
+        let running = Running {
+            kind: arrival.kind,
+            since: now,
+        };
+        self.running.insert(arrival.id, running);
+    }
+
+    fn class(&self, priority: Priority) -> Importance {
+        if self.settings.order_by_importance {
+            priority.importance()
+        } else {
+            Importance::Normal
+        }
+    }
+
+    fn in_flight(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.queue.is_empty() && self.in_flight() < self.limit.get()
+    }
+
+    fn can_finish(&self, now: MonoTime, start: MonoTime, arrival: &Arrival) -> bool {
+        start + self.estimates.service(now, arrival.kind) < arrival.deadline
+    }
+
+    fn expected_wait(&self, now: MonoTime, importance: Importance) -> Duration {
+        let ahead = self.queue.len_from(importance);
+        self.estimates.wait(now, ahead, self.limit.get())
+    }
+
+    fn queue_len_max(&self, now: MonoTime) -> usize {
+        let target = self.settings.queue_wait_target;
+        self.estimates
+            .served_within(now, target, self.limit.get())
+            .clamp(self.settings.queue_len_min, self.settings.queue_len_max)
+    }
+
+    fn refusal(&mut self, kind: ErrorKind) -> Refusal {
+        let pressure = self.level.pressure();
+        let retry_after = self.settings.backoff.draw(&mut self.rng, pressure);
+        Refusal::with_retry_after(kind, retry_after)
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_admission/src/limit/control.rs
@@ -0,0 +1,267 @@
+//! Control loop of the concurrency limit.
+
+use std::time::Duration;
+
+use rhubarblanding_core::prelude::*;
+
+use super::baseline::Baselines;
+use super::window::{Sample, Window};
+use super::{LimitPolicy, LimitSettings};
+
+/// Throughput in percent that a lower limit has to keep.
+const LOWER_KEEPS_PERCENT: f64 = 90.0;
+/// Part of the added limit by which a higher limit has to raise the throughput.
+const HIGHER_GAINS_PART: f64 = 0.5;
+/// Limit in percent that is left after the backend server shed a request.
+const SHED_LEAVES_PERCENT: u32 = 90;
+/// Part of the announced slots below which shedding does not push the limit.
+const SHED_FLOOR_DIVISOR: u32 = 4;
+/// Limit in percent that a window without shedding restores.
+const RESTORE_PERCENT: u32 = 150;
+
+#[derive(Clone, Copy, Debug)]
+enum Phase {
+    /// No trial runs.
+    Steady,
+    /// A lower limit is tried.
+    Lower { from: u32, throughput: f64 },
+    /// A higher limit is tried.
+    Higher { from: u32, throughput: f64 },
+    /// The backend server shed requests; the limit returns to `up_to`.
+    Restoring { up_to: u32 },
+}
+
+/// Concurrency limit of one backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct LimitControl {
+    settings: LimitSettings,
+    announced: u32,
+    limit: u32,
+    phase: Phase,
+    window: Window,
+    baselines: Baselines,
+    cut_at: MonoTime,
+    next_lower: MonoTime,
+    next_higher: MonoTime,
+    lower_pause: Duration,
+    higher_pause: Duration,
+}
+
+impl LimitControl {
+    pub(crate) fn new(now: MonoTime, settings: LimitSettings, slots: u32) -> Self {
+        let mut control = Self {
+            announced: 0,
+            limit: settings.initial.clamp(settings.min, settings.max),
+            phase: Phase::Steady,
+            window: Window::new(now),
+            baselines: Baselines::new(),
+            cut_at: now,
+            next_lower: now + settings.trial_pause,
+            next_higher: now + settings.trial_pause,
+            lower_pause: settings.trial_pause,
+            higher_pause: settings.trial_pause,
+            settings,
+        };
+        control.set_slots(now, slots);
+        control
+    }
+
+    /// Limit in force.
+    pub(crate) fn get(&self) -> u32 {
+        self.limit
+    }
+
+    /// Time at which the limit may change without another sample.
+    pub(crate) fn next_due(&self) -> Option<MonoTime> {
+        match self.phase {
+            Phase::Steady => None,
+            Phase::Restoring { .. } => Some(self.cut_at + self.settings.window),
+            Phase::Lower { .. } | Phase::Higher { .. } => {
+                Some(self.window.started + self.settings.window_max)
+            }
+        }
+    }
+
+    /// Takes over announced slots. What was learned stays if they are those announced before.
+    pub(crate) fn set_slots(&mut self, now: MonoTime, slots: u32) {
+        if slots == self.announced || slots == 0 {
+            return;
+        }
+        self.announced = slots;
+        self.phase = Phase::Steady;
+        self.set_limit(now, slots);
+    }
+
+    /// Records a completed request.
+    pub(crate) fn completed(&mut self, now: MonoTime, sample: Sample) {
+        // Requests admitted under an earlier limit say nothing about this one.
+        if sample.admitted_at < self.window.started {
+            return;
+        }
+        let latency = self.baselines.record(sample.kind, sample.own);
+        self.window.record(&sample, latency);
+        let enough = self.window.count() >= self.settings.samples;
+        if enough && now.since(self.window.started) >= self.settings.window {
+            self.close_window(now);
+        }
+    }
+
+    /// Records that the backend server shed a request while `in_flight` were there.
+    pub(crate) fn shed(&mut self, now: MonoTime, in_flight: u32) {
+        let fixed = self.settings.policy == LimitPolicy::Fixed;
+        if fixed || now.since(self.cut_at) < self.settings.window {
+            return;
+        }
+        let cut = in_flight.min(self.limit) * SHED_LEAVES_PERCENT / 100;
+        let floor = self.announced / SHED_FLOOR_DIVISOR;
+        let up_to = match self.phase {
+            Phase::Restoring { up_to } => up_to,
+            _ => self.limit * SHED_LEAVES_PERCENT / 100,
+        };
+        self.cut_at = now;
+        self.phase = Phase::Restoring { up_to };
+        self.set_limit(now, cut.max(floor));
+    }
+
+    /// Ends what is over by time alone.
+    pub(crate) fn advance(&mut self, now: MonoTime) {
+        if let Phase::Restoring { up_to } = self.phase {
+            self.restore(now, up_to);
+        } else if now.since(self.window.started) >= self.settings.window_max {
+            self.abandon_window(now);
+        }
+    }
+
+    fn restore(&mut self, now: MonoTime, up_to: u32) {
+        if now.since(self.cut_at) < self.settings.window {
+            return;
+        }
+        self.cut_at = now;
+        let raised = self.limit * RESTORE_PERCENT / 100 + 1;
+        if raised >= up_to {
+            self.phase = Phase::Steady;
+            self.next_higher = now + self.settings.trial_pause;
+        }
+        self.set_limit(now, raised.min(up_to.max(self.limit)));
+    }
+
+    fn abandon_window(&mut self, now: MonoTime) {
+        if let Phase::Lower { from, .. } | Phase::Higher { from, .. } = self.phase {
+            self.limit = from;
+            self.phase = Phase::Steady;
+        }
+        self.baselines.follow();
+        self.window = Window::new(now);
+    }
+
+    fn close_window(&mut self, now: MonoTime) {
+        match self.settings.policy {
+            LimitPolicy::Trial => self.close_trial_window(now),
+            LimitPolicy::AdditiveIncrease => self.close_additive_window(now),
+            LimitPolicy::Gradient => self.close_gradient_window(now),
+            LimitPolicy::Fixed => self.window = Window::new(now),
+        }
+    }
+
+    fn close_trial_window(&mut self, now: MonoTime) {
+        match self.phase {
+            Phase::Steady => self.close_steady(now),
+            Phase::Lower { from, throughput } => self.close_lower(now, from, throughput),
+            Phase::Higher { from, throughput } => self.close_higher(now, from, throughput),
+            Phase::Restoring { .. } => self.window = Window::new(now),
+        }
+    }
+
+    fn close_steady(&mut self, now: MonoTime) {
+        let window = self.window;
+        self.baselines.follow();
+        self.window = Window::new(now);
+        if !window.is_saturated() {
+            return;
+        }
+        if self.is_slow(&window) || now >= self.next_lower {
+            return self.try_lower(now, window.throughput());
+        }
+        if now >= self.next_higher {
+            self.try_higher(now, window.throughput());
+        }
+    }
+
+    fn try_lower(&mut self, now: MonoTime, throughput: f64) {
+        let from = self.limit;
+        self.phase = Phase::Lower { from, throughput };
+        self.set_limit(now, from * self.settings.lower_percent / 100);
+    }
+
+    fn try_higher(&mut self, now: MonoTime, throughput: f64) {
+        let from = self.limit;
+        self.phase = Phase::Higher { from, throughput };
+        let raised = from * self.settings.higher_percent / 100;
+        self.set_limit(now, raised.max(from + 1));
+    }
+
+    fn close_lower(&mut self, now: MonoTime, from: u32, before: f64) {
+        let kept = self.window.throughput() >= before * LOWER_KEEPS_PERCENT / 100.0;
+        if kept && self.limit < from {
+            let throughput = self.window.throughput();
+            self.baselines.discard();
+            self.lower_pause = self.settings.trial_pause;
+            return self.try_lower(now, throughput);
+        }
+        // The latency does not come from the concurrency, so it is the usual one from now on.
+        self.baselines.adopt();
+        self.lower_pause = (self.lower_pause * 2).min(self.settings.trial_pause_max);
+        self.end_trial(now, from);
+    }
+
+    fn close_higher(&mut self, now: MonoTime, from: u32, before: f64) {
+        let step = f64::from(self.limit) / f64::from(from.max(1)) - 1.0;
+        let wanted = before * (1.0 + step * HIGHER_GAINS_PART);
+        let throughput = self.window.throughput();
+        self.baselines.discard();
+        if throughput >= wanted && self.limit > from {
+            self.higher_pause = self.settings.trial_pause;
+            return self.try_higher(now, throughput);
+        }
+        self.higher_pause = (self.higher_pause * 2).min(self.settings.trial_pause_max);
+        self.end_trial(now, from);
+    }
+
+    fn end_trial(&mut self, now: MonoTime, limit: u32) {
+        self.phase = Phase::Steady;
+        self.next_lower = now + self.lower_pause;
+        self.next_higher = now + self.higher_pause;
+        self.set_limit(now, limit);
+    }
+
+    fn close_additive_window(&mut self, now: MonoTime) {
+        let window = self.window;
+        let limit = if self.is_slow(&window) {
+            self.limit * SHED_LEAVES_PERCENT / 100
+        } else {
+            self.limit + u32::from(window.is_saturated())
+        };
+        self.baselines.follow();
+        self.set_limit(now, limit);
+    }
+
+    fn close_gradient_window(&mut self, now: MonoTime) {
+        let window = self.window;
+        let tolerance = f64::from(self.settings.tolerance_percent) / 100.0;
+        let gradient = (tolerance / window.latency()).clamp(0.5, 1.0);
+        let limit = f64::from(self.limit) * gradient;
+        let room = f64::from(self.limit).sqrt();
+        let raised = if window.is_saturated() { room } else { 0.0 };
+        self.baselines.follow();
+        self.set_limit(now, (limit + raised) as u32);
+    }
+
+    fn is_slow(&self, window: &Window) -> bool {
+        window.latency() * 100.0 >= f64::from(self.settings.tolerance_percent)
+    }
+
+    fn set_limit(&mut self, now: MonoTime, limit: u32) {
+        self.limit = limit.clamp(self.settings.min, self.settings.max);
+        self.window = Window::new(now);
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_admission/src/limit/window.rs
@@ -0,0 +1,69 @@
+//! Window of latency samples under one limit.
+
+use std::time::Duration;
+
+use rhubarblanding_core::prelude::*;
+
+use crate::gate::KindId;
+
+/// One completed request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sample {
+    pub(crate) kind: KindId,
+    pub(crate) admitted_at: MonoTime,
+    /// Latency without the time spent waiting for downstream calls.
+    pub(crate) own: Duration,
+    /// Requests at the backend server, this one included.
+    pub(crate) in_flight: u32,
+    /// Whether others waited for its slot.
+    pub(crate) waiting: bool,
+}
+
+/// Sums over a window.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Window {
+    pub(super) started: MonoTime,
+    count: u32,
+    waiting: u32,
+    in_flight: u64,
+    latency: f64,
+}
+
+impl Window {
+    pub(super) fn new(started: MonoTime) -> Self {
+        Self {
+            started,
+            count: 0,
+            waiting: 0,
+            in_flight: 0,
+            latency: 0.0,
+        }
+    }
+
+    pub(super) fn record(&mut self, sample: &Sample, latency: f64) {
+        self.count += 1;
+        self.waiting += u32::from(sample.waiting);
+        self.in_flight += u64::from(sample.in_flight);
+        self.latency += latency;
+    }
+
+    pub(super) fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// Whether the limit held back requests for most of the window.
+    pub(super) fn is_saturated(&self) -> bool {
+        self.count > 0 && self.waiting * 2 >= self.count
+    }
+
+    /// Mean latency as a multiple of the baseline.
+    pub(super) fn latency(&self) -> f64 {
+        self.latency / f64::from(self.count.max(1))
+    }
+
+    /// Throughput by Little's law, in requests per baseline latency.
+    pub(super) fn throughput(&self) -> f64 {
+        let in_flight = self.in_flight as f64 / f64::from(self.count.max(1));
+        in_flight / self.latency().max(f64::MIN_POSITIVE)
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_request/src/allowance/ledger.rs
@@ -0,0 +1,280 @@
+//! Arena of the requests at one node and what is left of their allowance.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::time::Duration;
+
+use rand::Rng;
+use rhubarblanding_core::prelude::*;
+use slotmap::SlotMap;
+
+use super::{CallDigest, CallStart, LendShare, Token};
+use crate::context::RequestContext;
+use crate::reason::{RetryCounts, RetryReason};
+
+slotmap::new_key_type! {
+    /// Key of a request in an [`AllowanceLedger`].
+    pub struct RequestKey;
+}
+
+/// Settings of an [`AllowanceLedger`].
+#[derive(Clone, Debug)]
+pub struct AllowanceSettings {
+    /// Share lent with one downstream call.
+    pub share: LendShare,
+    /// Time for which a closed request is remembered, so that its repeats are still noticed.
+    pub closed_kept: Duration,
+    /// Number of closed requests that are remembered at most.
+    pub closed_max: usize,
+    /// Number of distinct downstream calls of one request.
+    pub calls_max: usize,
+    /// Whether what is lent is taken from the lender. Off only in tests of the test oracle.
+    pub deduct_lent: bool,
+    /// Whether repeats by the backend server are charged. Off only in tests of the test oracle.
+    pub charge_repeats: bool,
+}
+
+impl Default for AllowanceSettings {
+    fn default() -> Self {
+        Self {
+            share: LendShare::default(),
+            closed_kept: Duration::from_secs(30),
+            closed_max: 16_384,
+            calls_max: 4_096,
+            deduct_lent: true,
+            charge_repeats: true,
+        }
+    }
+}
+
+/// No retry is left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Exhausted;
+
+impl fmt::Display for Exhausted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("no retry is left")
+    }
+}
+
+impl std::error::Error for Exhausted {}
+
+/// Part of an allowance that travels with one downstream call.
+///
+/// It can be neither copied nor split, so it is given back at most once. Dropping it counts what
+/// was lent as spent.
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "what was lent counts as spent unless it is given back"]
+pub struct Lent {
+    lender: RequestKey,
+    amount: u8,
+}
+
+impl Lent {
+    /// Number of retries that travel with the call.
+    pub fn amount(&self) -> u8 {
+        self.amount
+    }
+
+    /// Request that lent it.
+    pub fn lender(&self) -> RequestKey {
+        self.lender
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    context: RequestContext,
+    token: Token,
+    left: u8,
+    open: bool,
+    calls: HashSet<CallDigest>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Closed {
+    key: RequestKey,
+    forget_at: MonoTime,
+}
+
+/// Requests that run at one node, with the retries that each may still cause.
+///
+/// Over a call tree the sum of what is left, lent and spent never grows: lending takes from the
+/// lender, and at most what was lent comes back.
+#[derive(Debug, Default)]
+pub struct AllowanceLedger {
+    settings: AllowanceSettings,
+    entries: SlotMap<RequestKey, Entry>,
+    by_token: HashMap<Token, RequestKey>,
+    closed: VecDeque<Closed>,
+    counts: RetryCounts,
+}
+
+impl AllowanceLedger {
+    /// Creates an empty ledger.
+    pub fn new(settings: AllowanceSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Opens a request that may cause `allowance` retries.
+    pub fn open(
+        &mut self,
+        rng: &mut impl Rng,
+        context: RequestContext,
+        allowance: u8,
+    ) -> RequestKey {
+        let token = Token::random(rng);
+        let key = self.entries.insert(Entry {
+            context,
+            token,
+            left: allowance,
+            open: true,
+            calls: HashSet::default(),
+        });
+        self.by_token.insert(token, key);
+        key
+    }
+
+    /// Token that the backend server of the request echoes.
+    pub fn token(&self, key: RequestKey) -> Option<Token> {
+        self.entries.get(key).map(|entry| entry.token)
+    }
+
+    /// Request that `token` names, `None` for a forged or forgotten token.
+    ///
+    /// A closed request is found for as long as it is remembered; it has no retries left.
+    pub fn find(&self, token: Token) -> Option<RequestKey> {
+        self.by_token.get(&token).copied()
+    }
+
+    /// Context of a request.
+    pub fn context(&self, key: RequestKey) -> Option<&RequestContext> {
+        self.entries.get(key).map(|entry| &entry.context)
+    }
+
+    /// Whether the request is open.
+    pub fn is_open(&self, key: RequestKey) -> bool {
+        self.entries.get(key).is_some_and(|entry| entry.open)
+    }
+
+    /// Retries left to the request, not counting what is lent out.
+    pub fn left(&self, key: RequestKey) -> u8 {
+        self.entries.get(key).map_or(0, |entry| entry.left)
+    }
+
+    /// Number of open requests.
+    pub fn open_len(&self) -> usize {
+        self.entries.len() - self.closed.len()
+    }
+
+    /// Lends part of the allowance to one downstream call.
+    pub fn lend(&mut self, key: RequestKey) -> Lent {
+        let amount = match self.entries.get_mut(key) {
+            Some(entry) => {
+                let amount = self.settings.share.of(entry.left);
+                if self.settings.deduct_lent {
+                    entry.left -= amount;
+                }
+                amount
+            }
+            None => 0,
+        };
+        Lent {
+            lender: key,
+            amount,
+        }
+    }
+
+    /// Takes back what an answer returned, at most what was lent.
+    ///
+    /// Nothing is taken back into a request that was closed meanwhile.
+    pub fn give_back(&mut self, lent: Lent, returned: u8) {
+        if !self.settings.deduct_lent {
+            return;
+        }
+        if let Some(entry) = self.entries.get_mut(lent.lender)
+            && entry.open
+        {
+            entry.left = entry.left.saturating_add(returned.min(lent.amount));
+        }
+    }
+
+    /// Takes one retry from the allowance.
+    ///
+    /// # Errors
+    ///
+    /// [`Exhausted`] if none is left or the request is closed.
+    pub fn spend(&mut self, key: RequestKey, reason: RetryReason) -> Result<(), Exhausted> {
+        let entry = self.entries.get_mut(key).ok_or(Exhausted)?;
+        entry.left = entry.left.checked_sub(1).ok_or(Exhausted)?;
+        self.counts.add(reason);
+        Ok(())
+    }
+
+    /// Returns the retries counted since the last call.
+    pub fn take_counts(&mut self) -> RetryCounts {
+        std::mem::take(&mut self.counts)
+    }
+
+    /// Records that the backend server of the request starts a downstream call.
+    ///
+    /// A call that the request made before is charged as a retry.
+    pub fn begin_call(&mut self, key: RequestKey, call: CallDigest) -> CallStart {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return CallStart::Refused;
+        };
+        let repeated = entry.calls.contains(&call);
+        if !repeated && entry.calls.len() >= self.settings.calls_max {
+            return CallStart::Refused;
+        }
+        if !repeated {
+            entry.calls.insert(call);
+            return CallStart::First;
+        }
+        if !self.settings.charge_repeats {
+            return CallStart::Repeat;
+        }
+        match self.spend(key, RetryReason::BackendRepeat) {
+            Ok(()) => CallStart::Repeat,
+            Err(Exhausted) => CallStart::Refused,
+        }
+    }
+
+    /// Closes a request and returns the retries that were left, to go back with its answer.
+    pub fn close(&mut self, now: MonoTime, key: RequestKey) -> u8 {
+        let left = match self.entries.get_mut(key) {
+            Some(entry) if entry.open => {
+                entry.open = false;
+                std::mem::take(&mut entry.left)
+            }
+            _ => return 0,
+        };
+        let forget_at = now + self.settings.closed_kept;
+        self.closed.push_back(Closed { key, forget_at });
+        self.forget_closed(now);
+        left
+    }
+
+    /// Forgets the closed requests whose time is over.
+    ///
+    /// [`close`](Self::close) does this as well.
+    pub fn forget_closed(&mut self, now: MonoTime) {
+        while let Some(oldest) = self.closed.front() {
+            let too_many = self.closed.len() > self.settings.closed_max;
+            if !too_many && oldest.forget_at > now {
+                return;
+            }
+            self.forget(oldest.key);
+            self.closed.pop_front();
+        }
+    }
+
+    fn forget(&mut self, key: RequestKey) {
+        if let Some(entry) = self.entries.remove(key) {
+            self.by_token.remove(&entry.token);
+        }
+    }
+}
--- a/crates/rhubarblanding_request/src/lib.rs
+++ b/crates/rhubarblanding_request/src/lib.rs
@@ -1,1 +1,26 @@
 //! What lives for one request: context, deadline, retry allowance and attempts.
+//!
+//! A node opens each request in its [`AllowanceLedger`](allowance::AllowanceLedger). Part of the
+//! allowance is lent with each downstream call and returned with the answer, so that the retries
+//! of a whole call tree never exceed the allowance of its root.
+//! [`next_step`](attempt::next_step) decides after each failed attempt.
+
+pub mod allowance;
+pub mod attempt;
+pub mod budget;
+pub mod context;
+pub mod reason;
+
+/// The names that a user of this crate types daily.
+pub mod prelude {
+    pub use crate::allowance::{
+        AllowanceLedger, AllowanceSettings, CallDigest, CallStart, Exhausted, Lent, RequestKey,
+        Token,
+    };
+    pub use crate::attempt::{
+        Answered, Attempt, FailedAttempt, Lost, NextStep, Planned, Sent, next_step,
+    };
+    pub use crate::budget::{BudgetSettings, BudgetState, RetryBudget};
+    pub use crate::context::RequestContext;
+    pub use crate::reason::{RetryCounts, RetryReason};
+}
--- /dev/null
+++ b/crates/rhubarblanding_request/src/reason.rs
@@ -0,0 +1,63 @@
+//! Reasons for which a request is sent again.
+
+use strum::{Display, EnumCount, EnumIter, EnumString, IntoEnumIterator, IntoStaticStr};
+
+/// Why a request is sent again.
+///
+/// The text form is the name of the counter.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumCount, EnumIter, EnumString, IntoStaticStr,
+)]
+pub enum RetryReason {
+    /// The target refused it without running it.
+    #[strum(serialize = "retry.refused_not_run")]
+    RefusedNotRun,
+    /// No connection to the target could be opened.
+    #[strum(serialize = "retry.connect_failed")]
+    ConnectFailed,
+    /// The connection broke while an idempotent request was running.
+    #[strum(serialize = "retry.connection_lost")]
+    ConnectionLost,
+    /// The connection went silent and a new attempt takes the place of an idempotent one.
+    #[strum(serialize = "retry.superseded")]
+    Superseded,
+    /// The target of a key moved to another node.
+    #[strum(serialize = "retry.home_moved")]
+    HomeMoved,
+    /// A backend server repeated one of its own downstream calls.
+    #[strum(serialize = "retry.backend_repeat")]
+    BackendRepeat,
+}
+
+impl RetryReason {
+    /// Name of the counter.
+    pub fn counter(self) -> &'static str {
+        self.into()
+    }
+}
+
+/// Number of retries for each reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RetryCounts([u64; RetryReason::COUNT]);
+
+impl RetryCounts {
+    /// Counts one retry.
+    pub fn add(&mut self, reason: RetryReason) {
+        self.0[reason as usize] += 1;
+    }
+
+    /// Number of retries for `reason`.
+    pub fn get(&self, reason: RetryReason) -> u64 {
+        self.0[reason as usize]
+    }
+
+    /// Number of retries for any reason.
+    pub fn total(&self) -> u64 {
+        self.0.iter().sum()
+    }
+
+    /// Reasons with the number of retries for each.
+    pub fn iter(&self) -> impl Iterator<Item = (RetryReason, u64)> + '_ {
+        RetryReason::iter().map(|reason| (reason, self.get(reason)))
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_routing/src/router/mod.rs
@@ -0,0 +1,8 @@
+//! Choice of a target for each request to one service.
+
+mod index;
+mod settings;
+mod state;
+
+pub use settings::RouterSettings;
+pub use state::{PickRequest, Router};
--- /dev/null
+++ b/crates/rhubarblanding_routing/src/router/state.rs
@@ -0,0 +1,206 @@
+//! State machine of a router.
+
+use rand::Rng;
+use rhubarblanding_core::prelude::*;
+use slotmap::SlotMap;
+
+use super::RouterSettings;
+use super::index::{Index, TargetKey, draw};
+use crate::target::health::HealthChange;
+use crate::target::{Target, TargetId, TargetOutcome};
+
+/// What is asked of [`Router::pick`].
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PickRequest<'a> {
+    /// Availability zone that is preferred.
+    pub zone: Option<&'a ZoneName>,
+    /// Hosts that are left out, for example because they were tried before.
+    pub exclude: &'a [HostId],
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    key: TargetKey,
+    utilisation: f64,
+}
+
+/// Targets of one service.
+#[derive(Debug, Default)]
+pub struct Router {
+    settings: RouterSettings,
+    targets: SlotMap<TargetKey, Target>,
+    by_host: HashMap<HostId, TargetKey>,
+    index: Index,
+}
+
+impl Router {
+    /// Creates a router without targets.
+    pub fn new(settings: RouterSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a target or takes over news about it. News about an earlier life are ignored.
+    pub fn upsert(&mut self, now: MonoTime, info: TargetInfo) {
+        match self.by_host.get(&info.host) {
+            Some(key) => {
+                if let Some(target) = self.targets.get_mut(*key) {
+                    target.update(now, info);
+                }
+            }
+            None => {
+                let host = info.host;
+                let key = self.targets.insert(Target::new(now, info));
+                self.by_host.insert(host, key);
+            }
+        }
+        self.rebuild();
+    }
+
+    /// Removes a target.
+    pub fn remove(&mut self, host: HostId) {
+        if let Some(key) = self.by_host.remove(&host) {
+            self.targets.remove(key);
+            self.rebuild();
+        }
+    }
+
+    /// Chooses a target: the less utilised of two random ones, of the preferred zone unless that
+    /// is loaded.
+    pub fn pick(
+        &self,
+        now: MonoTime,
+        rng: &mut impl Rng,
+        req: PickRequest<'_>,
+    ) -> Option<TargetId> {
+        let local = req
+            .zone
+            .and_then(|zone| self.better_of_two(now, rng, self.index.zone(zone), req.exclude));
+        if let Some(local) = local
+            && local.utilisation < self.settings.spill_utilisation
+        {
+            return self.id(local);
+        }
+        let any = self.better_of_two(now, rng, self.index.all(), req.exclude)?;
+        match local {
+            Some(local) if local.utilisation <= any.utilisation + self.settings.spill_margin => {
+                self.id(local)
+            }
+            _ => self.id(any),
+        }
+    }
+
+    /// Records that a request is sent to a target.
+    pub fn started(&mut self, now: MonoTime, id: TargetId) {
+        if let Some(target) = self.target_mut(id) {
+            target.started(now);
+        }
+    }
+
+    /// Records how a request that was started ended.
+    pub fn finished(&mut self, now: MonoTime, id: TargetId, outcome: TargetOutcome) {
+        let Some(target) = self.target_mut(id) else {
+            return;
+        };
+        if target.finished(now, outcome) != HealthChange::None {
+            self.rebuild();
+        }
+    }
+
+    /// Records the report that an answer of a target carried.
+    pub fn observe(&mut self, now: MonoTime, id: TargetId, report: LoadReport) {
+        let Some(target) = self.target_mut(id) else {
+            return;
+        };
+        let served = target.is_serving();
+        target.observe(now, report);
+        if served != target.is_serving() {
+            self.rebuild();
+        }
+    }
+
+    /// Number of targets that take new requests, ejected ones included.
+    pub fn serving_len(&self) -> usize {
+        self.index.all().len()
+    }
+
+    /// Number of ejected targets.
+    pub fn ejected_len(&self) -> usize {
+        if self.ejects() {
+            self.index.failing()
+        } else {
+            0
+        }
+    }
+
+    /// Requests of this node at a host.
+    pub fn in_flight(&self, host: HostId) -> u32 {
+        self.by_host
+            .get(&host)
+            .and_then(|key| self.targets.get(*key))
+            .map_or(0, Target::own_in_flight)
+    }
+
+    /// Whether failing targets are ejected: not while too many fail, as the fault is then more
+    /// likely on this side.
+    fn ejects(&self) -> bool {
+        let most = self.serving_len() * self.settings.ejected_max_percent as usize / 100;
+        self.index.failing() <= most
+    }
+
+    fn better_of_two(
+        &self,
+        now: MonoTime,
+        rng: &mut impl Rng,
+        list: &[TargetKey],
+        exclude: &[HostId],
+    ) -> Option<Candidate> {
+        let eligible = |key| self.is_eligible(now, key, exclude);
+        let first = draw(rng, list, eligible)?;
+        let first = self.candidate(now, first);
+        let second = draw(rng, list, |key| key != first.key && eligible(key));
+        let Some(second) = second else {
+            return Some(first);
+        };
+        let second = self.candidate(now, second);
+        Some(if second.utilisation < first.utilisation {
+            second
+        } else {
+            first
+        })
+    }
+
+    fn is_eligible(&self, now: MonoTime, key: TargetKey, exclude: &[HostId]) -> bool {
+        let target = &self.targets[key];
+        let ejected = target.is_failing() && self.ejects() && !target.is_probe_due(now);
+        !ejected && !exclude.contains(&target.id().host)
+    }
+
+    fn candidate(&self, now: MonoTime, key: TargetKey) -> Candidate {
+        let target = &self.targets[key];
+        let cold_share = self.settings.cold_share;
+        let mut utilisation = target.utilisation(now, self.settings.slow_start, cold_share);
+        if target.is_failing() && !target.is_probe_due(now) {
+            utilisation += self.settings.failing_penalty;
+        }
+        Candidate { key, utilisation }
+    }
+
+    fn id(&self, candidate: Candidate) -> Option<TargetId> {
+        self.targets.get(candidate.key).map(Target::id)
+    }
+
+    fn target_mut(&mut self, id: TargetId) -> Option<&mut Target> {
+        let key = self.by_host.get(&id.host)?;
+        self.targets
+            .get_mut(*key)
+            .filter(|target| target.id() == id)
+    }
+
+    fn rebuild(&mut self) {
+        let skip = self.settings.skip_draining;
+        self.index = Index::build(&self.targets, |target| !skip || target.is_serving());
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_routing/src/target/mod.rs
@@ -0,0 +1,39 @@
+//! One target as a node sees it.
+
+pub(crate) mod health;
+mod load;
+mod state;
+
+pub(crate) use state::Target;
+
+use rhubarblanding_core::prelude::*;
+use strum::{Display, EnumIter, IntoStaticStr};
+
+/// One life of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TargetId {
+    /// Host of the target.
+    pub host: HostId,
+    /// Life of the node on it.
+    pub incarnation: Incarnation,
+}
+
+/// How a request at a target ended, as far as it tells the health of the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum TargetOutcome {
+    /// An answer came.
+    Answered,
+    /// The target refused it; this tells nothing about its health.
+    Refused,
+    /// The caller gave up; this tells nothing about the target's health.
+    Cancelled,
+    /// The backend server answered with a failure of its own.
+    Failed,
+    /// No connection could be opened.
+    ConnectFailed,
+    /// The connection broke before the answer.
+    ConnectionLost,
+    /// The connection went silent.
+    Silent,
+}
--- /dev/null
+++ b/crates/rhubarblanding_routing/src/target/state.rs
@@ -0,0 +1,112 @@
+//! State of one target.
+
+use std::time::Duration;
+
+use rhubarblanding_core::prelude::*;
+
+use super::health::{Health, HealthChange};
+use super::load::Load;
+use super::{TargetId, TargetOutcome};
+
+/// Time of failing after which a recovered target counts as cold.
+const COLD_AFTER: Duration = Duration::from_secs(1);
+
+/// One life of a target, with its load and health.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    info: TargetInfo,
+    draining: bool,
+    warming_since: MonoTime,
+    load: Load,
+    health: Health,
+}
+
+impl Target {
+    pub(crate) fn new(now: MonoTime, info: TargetInfo) -> Self {
+        Self {
+            info,
+            draining: false,
+            warming_since: now,
+            load: Load::default(),
+            health: Health::new(),
+        }
+    }
+
+    pub(crate) fn id(&self) -> TargetId {
+        TargetId {
+            host: self.info.host,
+            incarnation: self.info.incarnation,
+        }
+    }
+
+    pub(crate) fn zone(&self) -> &ZoneName {
+        &self.info.zone
+    }
+
+    /// Takes over a newer description. A life never goes back to an earlier state, and a newer
+    /// life starts afresh.
+    pub(crate) fn update(&mut self, now: MonoTime, info: TargetInfo) {
+        if info.incarnation < self.info.incarnation {
+            return;
+        }
+        if info.incarnation > self.info.incarnation {
+            *self = Self::new(now, info);
+            return;
+        }
+        let state = self.info.state.max(info.state);
+        if state != self.info.state {
+            self.warming_since = now;
+        }
+        self.info = TargetInfo { state, ..info };
+    }
+
+    /// Whether the target takes new requests.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.info.state == TargetState::Serving && !self.draining
+    }
+
+    pub(crate) fn is_failing(&self) -> bool {
+        self.health.is_failing()
+    }
+
+    pub(crate) fn is_probe_due(&self, now: MonoTime) -> bool {
+        self.health.is_probe_due(now)
+    }
+
+    pub(crate) fn own_in_flight(&self) -> u32 {
+        self.load.own()
+    }
+
+    pub(crate) fn started(&mut self, now: MonoTime) {
+        self.load.started();
+        self.health.started(now);
+    }
+
+    pub(crate) fn finished(&mut self, now: MonoTime, outcome: TargetOutcome) -> HealthChange {
+        self.load.finished();
+        let change = self.health.finished(now, outcome);
+        if let HealthChange::Recovered(after) = change
+            && after >= COLD_AFTER
+        {
+            self.warming_since = now;
+        }
+        change
+    }
+
+    /// Takes over reported load. A life that is leaving stays so.
+    pub(crate) fn observe(&mut self, now: MonoTime, report: LoadReport) {
+        self.draining |= report.draining;
+        self.load.observe(now, report);
+    }
+
+    /// Requests at the target with one more, as a multiple of what it takes at present.
+    ///
+    /// What a target takes grows from `cold_share` to its limit within `slow_start`.
+    pub(crate) fn utilisation(&self, now: MonoTime, slow_start: Duration, cold_share: f64) -> f64 {
+        let age = now.since(self.warming_since).as_secs_f64();
+        let warmed = (age / slow_start.as_secs_f64().max(f64::MIN_POSITIVE)).min(1.0);
+        let share = cold_share + (1.0 - cold_share) * warmed;
+        let limit = f64::from(self.load.limit(self.info.slots)) * share;
+        f64::from(self.load.pending(now) + 1) / limit.max(1.0)
+    }
+}
