Add the backend server and caller load stand-ins

Tests need a backend server that overloads as a real one does and callers that check every byte. The answer body follows from request id and path, so that no copy of it has to travel. Requests above the slots wait inside the backend server; its shedding is off unless asked for, because a stand-in that protects itself would hide what control adds.

Both run embedded (Backend::start, Load::run) and as subcommands of rhubarblanding_standins.

--- /dev/null
+++ b/tools/standins/src/command/mod.rs
@@ -0,0 +1,51 @@
+//! Command line of the `rhubarblanding_standins` program.
+
+pub mod backend;
+pub mod load;
+
+use std::time::Duration;
+
+use clap::{ArgMatches, Command};
+use error_stack::Report;
+
+use crate::error::StandinError;
+
+/// The whole command line.
+pub fn command() -> Command {
+    Command::new("rhubarblanding_standins")
+        .about("Stand-ins for tests")
+        .subcommand_required(true)
+        .subcommand(backend::command())
+        .subcommand(load::command())
+}
+
+/// Runs the subcommand that `matches` names.
+///
+/// # Errors
+///
+/// Passes on what the subcommand reports.
+pub async fn run(matches: &ArgMatches) -> Result<(), Report<StandinError>> {
+    match matches.subcommand() {
+        Some(("backend", matches)) => backend::run(matches).await,
+        Some(("load", matches)) => load::run(matches).await,
+        _ => Err(Report::new(StandinError::Settings).attach("no such subcommand")),
+    }
+}
+
+/// Value of a flag that is given at most once.
+pub(crate) fn one<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> Option<T> {
+    matches.get_one::<T>(name).cloned()
+}
+
+/// Values of a flag that may be repeated.
+pub(crate) fn all<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> Vec<T> {
+    matches
+        .get_many::<T>(name)
+        .map(|values| values.cloned().collect())
+        .unwrap_or_default()
+}
+
+/// Value of a flag in milliseconds.
+pub(crate) fn millis(matches: &ArgMatches, name: &str) -> Option<Duration> {
+    one(matches, name).map(Duration::from_millis)
+}
