Add the key-value service's client and its stand-in

The nodes need compare-and-swap, leases and watches of the platform's service, and tests need a service that fails on demand. The client parts failures by what they leave behind: Unavailable was certainly not applied, AnswerLost may have been or may still be.

--- /dev/null
+++ b/crates/rhubarblanding_store/src/client/answer.rs
@@ -0,0 +1,51 @@
+//! JSON bodies of the protocol, as the client reads and writes them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::value::{Lease, LeaseId, ListEntry, Revision};
+
+/// Answer to a put: the new revision, or the current one after a conflict.
+#[derive(Debug, Deserialize)]
+pub(super) struct RevisionBody {
+    pub(super) revision: Revision,
+}
+
+/// Request to grant a lease, or to renew the one named.
+#[derive(Debug, Serialize)]
+pub(super) struct LeaseBody {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) lease: Option<LeaseId>,
+    pub(super) ttl_ms: u64,
+}
+
+impl LeaseBody {
+    pub(super) fn to_bytes(&self) -> Bytes {
+        // Two integers always serialize.
+        serde_json::to_vec(self).unwrap_or_default().into()
+    }
+}
+
+/// Answer to a grant or a renewal.
+#[derive(Debug, Deserialize)]
+pub(super) struct GrantBody {
+    lease: LeaseId,
+    ttl_ms: u64,
+}
+
+impl GrantBody {
+    pub(super) fn into_lease(self) -> Lease {
+        Lease {
+            id: self.lease,
+            ttl: Duration::from_millis(self.ttl_ms),
+        }
+    }
+}
+
+/// Answer to a listing.
+#[derive(Debug, Deserialize)]
+pub(super) struct ListBody {
+    pub(super) entries: Vec<ListEntry>,
+}
--- /dev/null
+++ b/crates/rhubarblanding_store/src/error.rs
@@ -0,0 +1,36 @@
+//! Failures of calls to the key-value service.
+
+use std::fmt;
+
+use strum::{EnumIter, IntoStaticStr};
+
+/// Why a call to the key-value service failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum StoreError {
+    /// The service did not apply the call and will not apply it later.
+    Unavailable,
+    /// The call may have been applied, or may still be applied.
+    AnswerLost,
+    /// The value is larger than [`VALUE_MAX_BYTES`](crate::value::VALUE_MAX_BYTES).
+    ValueTooLarge,
+    /// The lease lapsed or never existed.
+    LeaseLapsed,
+    /// The service called the request malformed, or answered a read with something that is not
+    /// part of its protocol. Nothing was applied.
+    InvalidAnswer,
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unavailable => "the key-value service is unavailable; nothing was applied",
+            Self::AnswerLost => "the answer was lost; the call may have been applied",
+            Self::ValueTooLarge => "the value is larger than the key-value service holds",
+            Self::LeaseLapsed => "the lease has lapsed",
+            Self::InvalidAnswer => "the key-value service gave an answer that is not understood",
+        })
+    }
+}
+
+impl std::error::Error for StoreError {}
--- /dev/null
+++ b/crates/rhubarblanding_store/src/watch/mod.rs
@@ -0,0 +1,125 @@
+//! Following one key through outages of the service.
+
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::backoff::{Backoff, BackoffSettings};
+use crate::client::StoreClient;
+use crate::key::Key;
+use crate::value::{Revision, Versioned, Watched};
+
+/// Settings of a [`WatchLoop`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchSettings {
+    /// Time that one watch waits at the service. Each watch counts as one call there.
+    pub wait: Duration,
+    /// Delays between attempts while the service fails.
+    pub backoff: BackoffSettings,
+}
+
+impl Default for WatchSettings {
+    fn default() -> Self {
+        Self {
+            wait: Duration::from_secs(30),
+            backoff: BackoffSettings::default(),
+        }
+    }
+}
+
+/// What happened to a key that is followed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WatchEvent {
+    /// It has a newer value.
+    Changed(Versioned),
+    /// It was removed at this revision.
+    Removed(Revision),
+}
+
+/// Follows one key: yields its present value first and each newer one after it. Values that
+/// are replaced quickly may be passed over; revisions never fall.
+#[derive(Debug)]
+pub struct WatchLoop {
+    client: StoreClient,
+    key: Key,
+    settings: WatchSettings,
+    rng: SmallRng,
+    backoff: Backoff,
+    after: Revision,
+    reachable: bool,
+}
+
+impl WatchLoop {
+    /// Creates a loop that draws its jitter from `seed`.
+    pub fn new(client: StoreClient, key: Key, settings: WatchSettings, seed: u64) -> Self {
+        Self {
+            client,
+            key,
+            settings,
+            rng: SmallRng::seed_from_u64(seed),
+            backoff: Backoff::new(settings.backoff),
+            after: Revision::ABSENT,
+            reachable: true,
+        }
+    }
+
+    /// Whether the last call was answered.
+    pub fn is_reachable(&self) -> bool {
+        self.reachable
+    }
+
+    /// Waits for the next event, through any number of failures.
+    ///
+    /// It may be dropped at any point and called again without missing the newest value.
+    pub async fn next(&mut self) -> WatchEvent {
+        loop {
+            let watched = self
+                .client
+                .watch(&self.key, self.after, self.settings.wait)
+                .await;
+            match watched {
+                Ok(watched) => {
+                    self.note_answer();
+                    if let Some(event) = self.advance(watched) {
+                        return event;
+                    }
+                }
+                Err(report) => {
+                    self.note_failure(&report.current_context().to_string());
+                    let delay = self.backoff.next_delay(&mut self.rng);
+                    tokio::time::sleep(delay).await;
+                }
+            }
+        }
+    }
+
+    /// Accepts only what lies above the newest revision seen.
+    fn advance(&mut self, watched: Watched) -> Option<WatchEvent> {
+        let (revision, event) = match watched {
+            Watched::Changed(new) => (new.revision, WatchEvent::Changed(new)),
+            Watched::Removed(revision) => (revision, WatchEvent::Removed(revision)),
+            Watched::Unchanged => return None,
+        };
+        if revision <= self.after {
+            return None;
+        }
+        self.after = revision;
+        Some(event)
+    }
+
+    fn note_answer(&mut self) {
+        self.backoff.reset();
+        if !self.reachable {
+            self.reachable = true;
+            log::info!("watch of {}: the key-value service answers again", self.key);
+        }
+    }
+
+    fn note_failure(&mut self, reason: &str) {
+        if self.reachable {
+            self.reachable = false;
+            log::warn!("watch of {}: {reason}", self.key);
+        }
+    }
+}
