Add the at-most-once ledger, its table of homes and the keeper

Cause: a non-idempotent request must run at most once, whichever node a caller repeats it through, without a call to the platform's store for each request.

A key's mint time selects one epoch of a versioned table, so each key has one home and one copy over all versions. The home dispatches after the copy acknowledged the key, and the copy takes a key over only with a witness of the same epoch.

Ruled out: letting a copy take a key over alone. A copy that is cut off could then run a key of an epoch that the others have already left. With a witness each run needs two members, so an epoch is closed once no two members that could decide together are left in it.

The faults are not fuzzed yet.

--- /dev/null
+++ b/crates/rhubarblanding_once/src/keeper/io.rs
@@ -0,0 +1,101 @@
+//! Inputs, outputs and settings of a table keeper.
+
+use std::time::Duration;
+
+use rhubarblanding_core::ids::TableVersion;
+
+use crate::table::{AdoptionReply, HomeTable, Member, MemberId};
+
+/// Intervals of a [`TableKeeper`](super::TableKeeper).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeeperSettings {
+    /// How far in the future a proposed epoch begins. It must exceed the ledgers' `mint_skew`.
+    pub lead: Duration,
+    /// How long before its begin a proposal that is not activated is withdrawn.
+    pub abort_margin: Duration,
+    /// Least time between two proposals, raised after each one that had to be withdrawn.
+    pub proposal_interval: Duration,
+    /// Greatest time between two proposals.
+    pub proposal_interval_max: Duration,
+    /// Time after which a store call that failed, or a proposal without answer, is repeated.
+    pub retry_interval: Duration,
+    /// How long after their mint time keys are answered from records.
+    pub retention: Duration,
+}
+
+impl Default for KeeperSettings {
+    fn default() -> Self {
+        Self {
+            lead: Duration::from_secs(5),
+            abort_margin: Duration::from_secs(1),
+            proposal_interval: Duration::from_secs(10),
+            proposal_interval_max: Duration::from_secs(120),
+            retry_interval: Duration::from_secs(1),
+            retention: Duration::from_secs(3600),
+        }
+    }
+}
+
+/// Result of reading the document from the platform's service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadResult {
+    /// The present document.
+    Table(HomeTable),
+    /// The service has no document yet.
+    Absent,
+    /// The store did not answer.
+    Unavailable,
+}
+
+/// Result of a compare-and-swap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SwapResult {
+    /// The document was written.
+    Swapped,
+    /// Another version was found; nothing was written.
+    Conflict,
+    /// No answer came; the document may have been written, or may yet be.
+    Unknown,
+}
+
+/// What a table keeper is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeeperInput {
+    /// The members that are alive and serving, as seen by this node.
+    View(Vec<Member>),
+    /// A member has stopped for good, and so has every request that it sent to its backend
+    /// server. Only an operator or the platform can know it; a missing heartbeat does not show it.
+    Stopped(MemberId),
+    /// A table was learned from another node.
+    Learned(HomeTable),
+    /// Answer to [`KeeperOutput::Read`].
+    Read(ReadResult),
+    /// Answer to [`KeeperOutput::Swap`].
+    Swap(SwapResult),
+    /// A member answered a table of [`KeeperOutput::Spread`].
+    Adoption(AdoptionReply),
+    /// Time has passed.
+    Tick,
+}
+
+/// What the owner of a table keeper has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeeperOutput {
+    /// Read the document. Exactly one [`KeeperInput::Read`] must follow.
+    Read,
+    /// Write `table` if the document's version is `expected`; `None` means that there is none.
+    /// Exactly one [`KeeperInput::Swap`] must follow.
+    Swap {
+        /// Version that must be found.
+        expected: Option<TableVersion>,
+        /// Document to write.
+        table: HomeTable,
+    },
+    /// Give a table to members, this node included, and report their answers.
+    Spread {
+        /// Receivers.
+        to: Vec<MemberId>,
+        /// Table for [`Ledger::adopt`](crate::ledger::Ledger::adopt).
+        table: HomeTable,
+    },
+}
--- /dev/null
+++ b/crates/rhubarblanding_once/src/keeper/mod.rs
@@ -0,0 +1,186 @@
+//! Changes of the table of homes in the platform's service.
+//!
+//! Each member has a keeper; the one whose member comes first in its own view acts. Two keepers
+//! that act at the same time are harmless, because each change is a compare-and-swap. A change of
+//! members takes two: one proposes an epoch that begins a little later, and one activates it after
+//! enough members of the epoch before it have adopted the proposal. While the store is down
+//! nothing changes, and the ledgers go on with the table that they have.
+
+mod io;
+mod propose;
+
+use rhubarblanding_core::collections::HashSet;
+use rhubarblanding_core::ids::TableVersion;
+use rhubarblanding_core::names::ServiceName;
+use rhubarblanding_core::time::{MonoTime, UnixMillis};
+
+use crate::table::{Adoption, AdoptionReply, HomeTable, Member, MemberId};
+use crate::time::Now;
+
+pub use io::{KeeperInput, KeeperOutput, KeeperSettings, ReadResult, SwapResult};
+
+/// Where a keeper stands with the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum StoreState {
+    /// The document has to be read before the keeper acts.
+    Unread,
+    /// A read is under way.
+    Reading,
+    /// A compare-and-swap to this table is under way.
+    Swapping(HomeTable),
+    /// The keeper has seen the document that it acts on.
+    Known,
+}
+
+/// Proposes, activates and withdraws epochs of one service's table.
+#[derive(Clone, Debug)]
+pub struct TableKeeper {
+    me: Member,
+    service: ServiceName,
+    settings: KeeperSettings,
+    view: Vec<Member>,
+    stopped: HashSet<MemberId>,
+    store: StoreState,
+    table: Option<HomeTable>,
+    /// Members that adopted the present table.
+    adopted: HashSet<MemberId>,
+    /// Latest mint time that a member has reported.
+    latest_mint: UnixMillis,
+    /// Whether a member reported that the present proposal begins too early.
+    too_late: bool,
+    /// Version that was last given to the members.
+    spread: Option<TableVersion>,
+    retry_at: MonoTime,
+    propose_at: MonoTime,
+    withdrawn: u32,
+}
+
+impl TableKeeper {
+    /// Creates the keeper of one life of a node.
+    pub fn new(me: Member, service: ServiceName, settings: KeeperSettings) -> Self {
+        Self {
+            me,
+            service,
+            settings,
+            view: Vec::new(),
+            stopped: HashSet::default(),
+            store: StoreState::Unread,
+            table: None,
+            adopted: HashSet::default(),
+            latest_mint: UnixMillis::default(),
+            too_late: false,
+            spread: None,
+            retry_at: MonoTime::ZERO,
+            propose_at: MonoTime::ZERO,
+            withdrawn: 0,
+        }
+    }
+
+    /// The newest table that the keeper has seen.
+    pub fn table(&self) -> Option<&HomeTable> {
+        self.table.as_ref()
+    }
+
+    /// Members whose stop would have to be confirmed by [`KeeperInput::Stopped`] before the table
+    /// can change.
+    pub fn blocking_members(&self) -> Vec<MemberId> {
+        let Some(table) = &self.table else {
+            return Vec::new();
+        };
+        let epoch = table.newest_active();
+        if epoch.is_closed_by(|id| self.is_reachable_or_stopped(id)) {
+            return Vec::new();
+        }
+        let ids = epoch.members.iter().map(|member| member.id);
+        ids.filter(|id| !self.is_reachable_or_stopped(*id))
+            .collect()
+    }
+
+    /// Takes one input and returns what has to be done.
+    pub fn handle(&mut self, now: Now, input: KeeperInput) -> Vec<KeeperOutput> {
+        match input {
+            KeeperInput::View(members) => self.on_view(members),
+            KeeperInput::Stopped(member) => {
+                self.stopped.insert(member);
+            }
+            KeeperInput::Learned(table) => self.learn(table),
+            KeeperInput::Read(result) => self.on_read(now, result),
+            KeeperInput::Swap(result) => self.on_swap(now, result),
+            KeeperInput::Adoption(reply) => self.on_adoption(reply),
+            KeeperInput::Tick => {}
+        }
+        self.act(now)
+    }
+
+    fn on_view(&mut self, mut members: Vec<Member>) {
+        let was_leader = self.is_leader();
+        members.sort();
+        members.dedup_by_key(|member| member.id.host);
+        self.view = members;
+        if !was_leader && self.is_leader() && self.store == StoreState::Known {
+            self.store = StoreState::Unread;
+        }
+    }
+
+    fn learn(&mut self, table: HomeTable) {
+        if self.table.as_ref().map(HomeTable::version) < Some(table.version()) {
+            self.table = Some(table);
+            self.adopted.clear();
+            self.too_late = false;
+        }
+    }
+
+    fn on_read(&mut self, now: Now, result: ReadResult) {
+        if self.store != StoreState::Reading {
+            return;
+        }
+        self.store = StoreState::Known;
+        match result {
+            ReadResult::Table(table) => self.learn(table),
+            ReadResult::Absent => {}
+            ReadResult::Unavailable => self.read_later(now),
+        }
+    }
+
+    fn on_swap(&mut self, now: Now, result: SwapResult) {
+        let StoreState::Swapping(table) = self.store.clone() else {
+            return;
+        };
+        self.store = StoreState::Known;
+        match result {
+            SwapResult::Swapped => self.learn(table),
+            SwapResult::Conflict => self.store = StoreState::Unread,
+            SwapResult::Unknown => self.read_later(now),
+        }
+    }
+
+    fn read_later(&mut self, now: Now) {
+        self.store = StoreState::Unread;
+        self.retry_at = now.mono + self.settings.retry_interval;
+    }
+
+    fn on_adoption(&mut self, reply: AdoptionReply) {
+        if self.table.as_ref().map(HomeTable::version) != Some(reply.version) {
+            return;
+        }
+        match reply.adoption {
+            Adoption::Adopted => {
+                self.adopted.insert(reply.member);
+            }
+            Adoption::TooLate { latest_mint } => {
+                self.latest_mint = self.latest_mint.max(latest_mint);
+                self.too_late = true;
+            }
+            Adoption::TooFar => {}
+            Adoption::Stale => self.store = StoreState::Unread,
+        }
+    }
+
+    fn is_leader(&self) -> bool {
+        self.view.first() == Some(&self.me)
+    }
+
+    fn is_reachable_or_stopped(&self, id: MemberId) -> bool {
+        self.stopped.contains(&id) || self.view.iter().any(|member| member.id == id)
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_once/src/keeper/propose.rs
@@ -0,0 +1,151 @@
+//! What a keeper does next with the table that it knows.
+
+use rhubarblanding_core::time::UnixMillis;
+
+use super::{KeeperOutput, StoreState, TableKeeper};
+use crate::table::{Epoch, HomeTable, Member, MemberId};
+use crate::time::Now;
+
+impl TableKeeper {
+    pub(super) fn act(&mut self, now: Now) -> Vec<KeeperOutput> {
+        let mut out = Vec::new();
+        if !self.is_leader() {
+            return out;
+        }
+        match &self.store {
+            StoreState::Reading | StoreState::Swapping(_) => {}
+            StoreState::Unread => self.read(now, &mut out),
+            StoreState::Known => self.act_on_table(now, &mut out),
+        }
+        out
+    }
+
+    fn read(&mut self, now: Now, out: &mut Vec<KeeperOutput>) {
+        if now.mono >= self.retry_at {
+            self.store = StoreState::Reading;
+            out.push(KeeperOutput::Read);
+        }
+    }
+
+    fn act_on_table(&mut self, now: Now, out: &mut Vec<KeeperOutput>) {
+        let Some(table) = self.table.clone() else {
+            self.bootstrap(now, out);
+            return;
+        };
+        self.spread(now, &table, out);
+        match table.proposed() {
+            Some(proposed) => self.follow(now, &table, proposed, out),
+            None => self.propose(now, &table, out),
+        }
+    }
+
+    fn bootstrap(&mut self, now: Now, out: &mut Vec<KeeperOutput>) {
+        let members = self.view.clone();
+        if let Ok(table) = HomeTable::bootstrap(self.service.clone(), now.wall, members) {
+            self.swap(None, table, out);
+        }
+    }
+
+    /// Gives the table to the members that have not adopted it, at once and then at intervals.
+    fn spread(&mut self, now: Now, table: &HomeTable, out: &mut Vec<KeeperOutput>) {
+        let is_new = self.spread != Some(table.version());
+        if !is_new && now.mono < self.retry_at {
+            return;
+        }
+        let to = self.receivers(table);
+        if !to.is_empty() {
+            let table = table.clone();
+            out.push(KeeperOutput::Spread { to, table });
+        }
+        self.spread = Some(table.version());
+        self.retry_at = now.mono + self.settings.retry_interval;
+    }
+
+    fn receivers(&self, table: &HomeTable) -> Vec<MemberId> {
+        let epochs = table.proposed().into_iter().chain([table.newest_active()]);
+        let members = epochs.flat_map(|epoch| &epoch.members).chain(&self.view);
+        let mut ids: Vec<MemberId> = members.map(|member| member.id).collect();
+        ids.sort();
+        ids.dedup();
+        ids.retain(|id| !self.adopted.contains(id) && !self.stopped.contains(id));
+        ids
+    }
+
+    /// Activates a proposal that enough members adopted; withdraws or moves one that is late.
+    fn follow(
+        &mut self,
+        now: Now,
+        table: &HomeTable,
+        proposed: &Epoch,
+        out: &mut Vec<KeeperOutput>,
+    ) {
+        let closed = |id| self.adopted.contains(&id) || self.stopped.contains(&id);
+        if table.newest_active().is_closed_by(closed) {
+            self.withdrawn = 0;
+            let activated = table.activate(self.expired_before(now));
+            self.swap(Some(table), activated, out);
+            return;
+        }
+        let is_due = now.wall + self.settings.abort_margin >= proposed.from;
+        if is_due {
+            self.withdrawn += 1;
+            self.delay_proposal(now);
+            self.swap(Some(table), table.abort(), out);
+        } else if self.too_late {
+            let moved = table.propose(self.next_start(now, table), proposed.members.clone());
+            self.swap_if_some(table, moved, out);
+        }
+    }
+
+    /// Proposes the view if it differs from the newest epoch and its adoption can be expected.
+    fn propose(&mut self, now: Now, table: &HomeTable, out: &mut Vec<KeeperOutput>) {
+        let newest = table.newest_active();
+        if newest.members == self.view || now.mono < self.propose_at {
+            return;
+        }
+        if !newest.is_closed_by(|id| self.is_reachable_or_stopped(id)) {
+            return;
+        }
+        self.delay_proposal(now);
+        let members: Vec<Member> = self.view.clone();
+        let proposed = table.propose(self.next_start(now, table), members);
+        self.swap_if_some(table, proposed, out);
+    }
+
+    fn delay_proposal(&mut self, now: Now) {
+        let delay = self.settings.proposal_interval * 2u32.saturating_pow(self.withdrawn.min(16));
+        self.propose_at = now.mono + delay.min(self.settings.proposal_interval_max);
+    }
+
+    fn next_start(&self, now: Now, table: &HomeTable) -> UnixMillis {
+        let newest = table.newest_active().from;
+        now.wall.max(self.latest_mint).max(newest) + self.settings.lead
+    }
+
+    fn expired_before(&self, now: Now) -> UnixMillis {
+        let retention = self.settings.retention.as_millis() as u64;
+        UnixMillis(now.wall.0.saturating_sub(retention))
+    }
+
+    fn swap_if_some(
+        &mut self,
+        expected: &HomeTable,
+        table: Option<HomeTable>,
+        out: &mut Vec<KeeperOutput>,
+    ) {
+        if let Some(table) = table {
+            self.swap(Some(expected), table, out);
+        }
+    }
+
+    fn swap(
+        &mut self,
+        expected: Option<&HomeTable>,
+        table: HomeTable,
+        out: &mut Vec<KeeperOutput>,
+    ) {
+        self.store = StoreState::Swapping(table.clone());
+        let expected = expected.map(HomeTable::version);
+        out.push(KeeperOutput::Swap { expected, table });
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_once/src/ledger/active.rs
@@ -0,0 +1,215 @@
+//! Tries in progress and the callers that wait for them.
+
+use std::sync::Arc;
+
+use rhubarblanding_core::error::ErrorKind;
+use rhubarblanding_core::ids::IdempotencyKey;
+use rhubarblanding_core::timer::TimerKey;
+
+use super::record::{AttemptKey, Record, State};
+use super::{AttemptRequest, CallerId, Ledger, Output};
+use crate::answer::RecordedAnswer;
+use crate::message::{PeerMessage, RunId};
+use crate::table::Placement;
+use crate::time::Now;
+
+/// What a try waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// As home: for the copy to acknowledge the key.
+    Preparing,
+    /// As copy: for a member to confirm that the epoch still decides on the key.
+    AwaitingWitness,
+    /// For the backend server.
+    Running,
+}
+
+/// One try to run a key at this node.
+#[derive(Clone, Debug)]
+pub(super) struct Attempt {
+    pub key: IdempotencyKey,
+    pub run: RunId,
+    pub stage: Stage,
+    pub placement: Placement,
+    /// Callers that wait, the first of which provides the request.
+    pub waiters: Vec<CallerId>,
+    /// Caller whose request was sent to the backend server.
+    pub dispatched_for: Option<CallerId>,
+    timer: Option<TimerKey>,
+}
+
+/// What a ledger is reminded of.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Timer {
+    /// A try waited too long for another member.
+    Decision(AttemptKey),
+    /// A recorded answer was not acknowledged.
+    Recorded(IdempotencyKey),
+}
+
+impl Ledger {
+    /// Creates a try and the record that points to it.
+    pub(super) fn open(
+        &mut self,
+        now: Now,
+        req: AttemptRequest,
+        placement: Placement,
+        stage: Stage,
+    ) -> (AttemptKey, RunId) {
+        self.note_mint(req.key);
+        let run = self.next_run;
+        self.next_run = RunId(run.0 + 1);
+        let attempt = self.attempts.insert(Attempt {
+            key: req.key,
+            run,
+            stage,
+            placement,
+            waiters: vec![req.caller],
+            dispatched_for: None,
+            timer: None,
+        });
+        let due = now.mono + self.settings.prepare_timeout;
+        let timer = self.timers.subscribe(due, Timer::Decision(attempt));
+        if let Some(opened) = self.attempts.get_mut(attempt) {
+            opened.timer = Some(timer);
+        }
+        let record = Record {
+            fingerprint: req.fingerprint,
+            state: State::Active(attempt),
+        };
+        self.records.insert(req.key, record);
+        (attempt, run)
+    }
+
+    /// Adds a caller to a try.
+    pub(super) fn join(&mut self, attempt: AttemptKey, caller: CallerId) {
+        if let Some(attempt) = self.attempts.get_mut(attempt) {
+            attempt.waiters.push(caller);
+        }
+    }
+
+    /// The try of a key, if it is in the given stage.
+    pub(super) fn active(&self, key: IdempotencyKey, stage: Stage) -> Option<AttemptKey> {
+        let State::Active(attempt) = self.records.get(key)?.state else {
+            return None;
+        };
+        (self.attempts.get(attempt)?.stage == stage).then_some(attempt)
+    }
+
+    /// The try of a key, if it is in the given stage and has the given number.
+    pub(super) fn active_run(
+        &self,
+        key: IdempotencyKey,
+        stage: Stage,
+        run: RunId,
+    ) -> Option<AttemptKey> {
+        let attempt = self.active(key, stage)?;
+        (self.attempts.get(attempt)?.run == run).then_some(attempt)
+    }
+
+    /// Sends a try to the backend server, unless a newer table has taken the key away.
+    pub(super) fn dispatch(&mut self, attempt_key: AttemptKey, out: &mut Vec<Output>) {
+        let Some(attempt) = self.attempts.get(attempt_key) else {
+            return;
+        };
+        let caller = attempt.waiters.first().copied();
+        let current = self.is_current(attempt.key, attempt.placement);
+        let (true, Some(caller)) = (current, caller) else {
+            self.give_up(attempt_key, ErrorKind::HomeUnavailable, out);
+            return;
+        };
+        self.cancel_timer(attempt_key);
+        let Some(attempt) = self.attempts.get_mut(attempt_key) else {
+            return;
+        };
+        attempt.stage = Stage::Running;
+        attempt.dispatched_for = Some(caller);
+        out.push(Output::Dispatch {
+            key: attempt.key,
+            run: attempt.run,
+            caller,
+        });
+    }
+
+    /// Ends a try and returns it. The record still points to it.
+    pub(super) fn close(&mut self, attempt: AttemptKey) -> Option<Attempt> {
+        self.cancel_timer(attempt);
+        self.attempts.remove(attempt)
+    }
+
+    /// Ends a try that was not dispatched, or not run, and frees its key.
+    pub(super) fn give_up(&mut self, attempt: AttemptKey, kind: ErrorKind, out: &mut Vec<Output>) {
+        let Some(attempt) = self.close(attempt) else {
+            return;
+        };
+        self.records.remove(attempt.key);
+        self.refuse_all(&attempt.waiters, kind, out);
+        self.release(&attempt, out);
+    }
+
+    /// Tells the copy that a try of the home has ended without running.
+    fn release(&self, attempt: &Attempt, out: &mut Vec<Output>) {
+        let is_home = self.is_me(attempt.placement.home);
+        if let (true, Some(to)) = (is_home, attempt.placement.copy) {
+            let (key, run) = (attempt.key, attempt.run);
+            let msg = PeerMessage::Release { key, run };
+            out.push(Output::Send { to, msg });
+        }
+    }
+
+    /// Drops a caller that no longer waits, and a try that nobody waits for before it runs.
+    pub(super) fn on_caller_gone(
+        &mut self,
+        caller: CallerId,
+        key: IdempotencyKey,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(State::Active(active)) = self.records.get(key).map(|record| &record.state) else {
+            return;
+        };
+        let active = *active;
+        let Some(attempt) = self.attempts.get_mut(active) else {
+            return;
+        };
+        attempt.waiters.retain(|waiter| *waiter != caller);
+        if attempt.waiters.is_empty() && attempt.stage != Stage::Running {
+            self.give_up(active, ErrorKind::HomeUnavailable, out);
+        }
+    }
+
+    pub(super) fn answer_all(
+        &self,
+        waiters: &[CallerId],
+        answer: &Arc<RecordedAnswer>,
+        out: &mut Vec<Output>,
+    ) {
+        out.extend(waiters.iter().map(|caller| Output::Answer {
+            caller: *caller,
+            answer: answer.clone(),
+        }));
+    }
+
+    pub(super) fn refuse_all(&self, waiters: &[CallerId], kind: ErrorKind, out: &mut Vec<Output>) {
+        for caller in waiters {
+            self.refuse(*caller, kind, out);
+        }
+    }
+
+    pub(super) fn expire_timers(&mut self, now: Now, out: &mut Vec<Output>) {
+        for timer in self.timers.expire(now.mono) {
+            match timer {
+                Timer::Decision(attempt) => {
+                    self.give_up(attempt, ErrorKind::HomeUnavailable, out);
+                }
+                Timer::Recorded(key) => self.resend_recorded(now, key, out),
+            }
+        }
+    }
+
+    fn cancel_timer(&mut self, attempt: AttemptKey) {
+        let attempt = self.attempts.get_mut(attempt);
+        if let Some(timer) = attempt.and_then(|attempt| attempt.timer.take()) {
+            self.timers.cancel(timer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_once/src/ledger/io.rs
@@ -0,0 +1,121 @@
+//! Inputs and outputs of a ledger.
+
+use std::sync::Arc;
+
+use rhubarblanding_core::error::Refusal;
+use rhubarblanding_core::ids::IdempotencyKey;
+use strum::IntoStaticStr;
+
+use crate::answer::{Fingerprint, RecordedAnswer};
+use crate::message::{Envelope, PeerMessage, RunId};
+use crate::table::MemberId;
+
+/// Number that the owner of a ledger gives to one waiting caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallerId(pub u64);
+
+/// In which capacity an entry node asks a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Role {
+    /// As the key's home.
+    Home,
+    /// As the key's copy, because the home cannot be reached.
+    Substitute,
+}
+
+/// One attempt of a caller to run a key or to learn its outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptRequest {
+    /// Who waits for the answer.
+    pub caller: CallerId,
+    /// Key of the request.
+    pub key: IdempotencyKey,
+    /// Hash of the request.
+    pub fingerprint: Fingerprint,
+    /// In which capacity this node is asked.
+    pub role: Role,
+}
+
+/// How a dispatched request ended at the backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It ran and the answer is whole.
+    Answered(RecordedAnswer),
+    /// It ran, and the answer was streamed to the dispatching caller without being kept.
+    Streamed,
+    /// The backend server did not run it and will not.
+    Shed,
+    /// The connection was lost, so the outcome is not known.
+    Lost,
+}
+
+/// What a ledger is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// An entry node asks for a key.
+    Attempt(AttemptRequest),
+    /// A caller no longer waits.
+    CallerGone {
+        /// Who waited.
+        caller: CallerId,
+        /// Key of the request.
+        key: IdempotencyKey,
+    },
+    /// A dispatched request ended, or a question about its outcome was answered.
+    Outcome {
+        /// Key that was dispatched.
+        key: IdempotencyKey,
+        /// The try, as given by [`Output::Dispatch`].
+        run: RunId,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// Another member sent a message.
+    Peer(Envelope),
+    /// Time has passed.
+    Tick,
+}
+
+/// What the owner of a ledger has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send the request of `caller` to the local backend server, once.
+    Dispatch {
+        /// Key to run.
+        key: IdempotencyKey,
+        /// The try, to be named by [`Input::Outcome`].
+        run: RunId,
+        /// Caller whose request is sent.
+        caller: CallerId,
+    },
+    /// Answer a caller with the backend server's own answer.
+    Answer {
+        /// Who waits.
+        caller: CallerId,
+        /// The answer.
+        answer: Arc<RecordedAnswer>,
+    },
+    /// Refuse a caller.
+    Refuse {
+        /// Who waits.
+        caller: CallerId,
+        /// Why, and when to come back.
+        refusal: Refusal,
+    },
+    /// Send a message to another member.
+    Send {
+        /// The receiver.
+        to: MemberId,
+        /// The message.
+        msg: PeerMessage,
+    },
+    /// Ask the local backend server on a fresh connection for the outcome of a lost request, and
+    /// report it as [`Input::Outcome`].
+    AskOutcome {
+        /// Key that was dispatched.
+        key: IdempotencyKey,
+        /// The try.
+        run: RunId,
+    },
+}
--- /dev/null
+++ b/crates/rhubarblanding_once/src/ledger/record.rs
@@ -0,0 +1,117 @@
+//! Records of keys, ordered by mint time, in bounded number.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rhubarblanding_core::ids::IdempotencyKey;
+use rhubarblanding_core::time::UnixMillis;
+use slotmap::new_key_type;
+
+use crate::answer::{Fingerprint, RecordedAnswer};
+use crate::message::RunId;
+
+new_key_type! {
+    /// Key of a try in progress.
+    pub(super) struct AttemptKey;
+}
+
+/// What a ledger knows of a key.
+#[derive(Clone, Debug)]
+pub(super) enum State {
+    /// A try is in progress at this node.
+    Active(AttemptKey),
+    /// As copy: the home may have dispatched this try.
+    Prepared(RunId),
+    /// Dispatched by this node, and the outcome was lost.
+    Lost(RunId),
+    /// Ran, and the answer is kept.
+    Answered(Arc<RecordedAnswer>),
+    /// Ran, and the answer is not kept.
+    NotKept,
+}
+
+/// One key.
+#[derive(Clone, Debug)]
+pub(super) struct Record {
+    /// Hash of the request.
+    pub fingerprint: Fingerprint,
+    /// What is known.
+    pub state: State,
+}
+
+impl Record {
+    /// Whether the home may have dispatched the key.
+    pub fn is_prepared(&self) -> bool {
+        matches!(self.state, State::Prepared(_))
+    }
+}
+
+/// Records in the order of their keys, which is the order of their mint times.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Records {
+    by_key: BTreeMap<IdempotencyKey, Record>,
+    horizon: Option<UnixMillis>,
+}
+
+impl Records {
+    pub fn get(&self, key: IdempotencyKey) -> Option<&Record> {
+        self.by_key.get(&key)
+    }
+
+    pub fn insert(&mut self, key: IdempotencyKey, record: Record) {
+        self.by_key.insert(key, record);
+    }
+
+    pub fn set_state(&mut self, key: IdempotencyKey, state: State) {
+        if let Some(record) = self.by_key.get_mut(&key) {
+            record.state = state;
+        }
+    }
+
+    pub fn remove(&mut self, key: IdempotencyKey) {
+        self.by_key.remove(&key);
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// Latest mint time of an evicted record.
+    pub fn horizon(&self) -> Option<UnixMillis> {
+        self.horizon
+    }
+
+    /// Evicts the records that were minted before `expired`.
+    pub fn evict_expired(&mut self, expired: UnixMillis) {
+        while let Some(key) = self.oldest_idle() {
+            if key.minted_at() >= expired {
+                break;
+            }
+            self.evict(key);
+        }
+    }
+
+    /// Makes room for a record of a key minted at `mint`, if older records can be evicted.
+    pub fn make_room(&mut self, max: usize, mint: UnixMillis) -> bool {
+        while self.by_key.len() >= max {
+            match self.oldest_idle() {
+                Some(key) if key.minted_at() < mint => self.evict(key),
+                _ => return false,
+            }
+        }
+        true
+    }
+
+    fn oldest_idle(&self) -> Option<IdempotencyKey> {
+        let idle = |record: &Record| !matches!(record.state, State::Active(_));
+        let mut records = self.by_key.iter();
+        records
+            .find(|(_, record)| idle(record))
+            .map(|(key, _)| *key)
+    }
+
+    fn evict(&mut self, key: IdempotencyKey) {
+        self.by_key.remove(&key);
+        self.horizon = self.horizon.max(Some(key.minted_at()));
+    }
+}
--- a/crates/rhubarblanding_once/src/lib.rs
+++ b/crates/rhubarblanding_once/src/lib.rs
@@ -1,1 +1,39 @@
 //! At-most-once execution of non-idempotent requests by idempotency key.
+//!
+//! Each [`IdempotencyKey`](rhubarblanding_core::ids::IdempotencyKey) is a UUID of version 7, so its
+//! mint time is part of the key. A [`HomeTable`](table::HomeTable) maps that mint time to one
+//! epoch, and the epoch maps the key to one [`Placement`](table::Placement): a *home*, which runs
+//! the request at its own backend server, and a *copy* in another availability zone, which
+//! acknowledges the key before the home dispatches it.
+//!
+//! - [`ledger::Ledger`] is a node's state for one service: records, running requests, fencing.
+//! - [`route::Route`] decides which node an entry node asks, and what it may tell the caller.
+//! - [`keeper::TableKeeper`] changes the table in the platform's key-value service.
+//!
+//! Nothing here performs I/O, reads a clock or draws random numbers. The caller passes
+//! [`Now`](time::Now) with each input and carries out the outputs.
+
+pub mod answer;
+pub mod keeper;
+pub mod ledger;
+pub mod message;
+pub mod route;
+pub mod table;
+pub mod time;
+
+/// The names that a user of this crate types daily.
+pub mod prelude {
+    pub use crate::answer::{Fingerprint, Header, RecordedAnswer};
+    pub use crate::keeper::{
+        KeeperInput, KeeperOutput, KeeperSettings, ReadResult, SwapResult, TableKeeper,
+    };
+    pub use crate::ledger::{
+        AttemptRequest, CallerId, Input, Ledger, LedgerSettings, Outcome, Output, Role,
+    };
+    pub use crate::message::{Envelope, PeerMessage, RunId};
+    pub use crate::route::{AskFailure, Route, RouteStep};
+    pub use crate::table::{
+        Adoption, AdoptionReply, Epoch, HomeTable, Member, MemberId, Placement,
+    };
+    pub use crate::time::Now;
+}
--- /dev/null
+++ b/crates/rhubarblanding_once/src/route.rs
@@ -0,0 +1,101 @@
+//! Which member an entry node asks for a key, and what it may tell the caller.
+
+use rhubarblanding_core::error::{ErrorKind, Refusal, RunState};
+use rhubarblanding_core::ids::IdempotencyKey;
+
+use crate::ledger::Role;
+use crate::table::{HomeTable, MemberId, Placement};
+
+/// What an entry node does next for one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteStep {
+    /// Forward the request to a member.
+    Ask {
+        /// The member. Its incarnation goes with the request.
+        to: MemberId,
+        /// In which capacity it is asked.
+        role: Role,
+    },
+    /// Refuse the caller.
+    Refuse(Refusal),
+}
+
+/// How asking a member failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskFailure {
+    /// No connection: nothing of the request was sent.
+    NotSent,
+    /// The request may have arrived; no answer came.
+    NoAnswer,
+    /// The member refused the request.
+    Refused(Refusal),
+}
+
+/// Progress of one request at an entry node: first the home is asked, then its copy.
+#[derive(Clone, Copy, Debug)]
+pub struct Route {
+    placement: Placement,
+    asked: Role,
+    may_run: bool,
+}
+
+impl Route {
+    /// Begins with the home of the key by the entry node's table.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if there is no table, or if it does not reach back to the key's mint time.
+    pub fn start(
+        table: Option<&HomeTable>,
+        key: IdempotencyKey,
+    ) -> Result<(Self, RouteStep), Refusal> {
+        let table = table.ok_or(Refusal::new(ErrorKind::HomeUnavailable))?;
+        let placement = table.place(key);
+        let placement = placement.ok_or(Refusal::new(ErrorKind::OutcomeUnknown))?;
+        let route = Self {
+            placement,
+            asked: Role::Home,
+            may_run: false,
+        };
+        let to = placement.home;
+        let role = Role::Home;
+        Ok((route, RouteStep::Ask { to, role }))
+    }
+
+    /// Decides what to do after a member did not give the backend server's answer.
+    ///
+    /// Once a request may have reached a member that did not answer, that member may still run it.
+    /// From then on a refusal of the other member does not mean that the request is not run.
+    pub fn on_failure(&mut self, failure: AskFailure) -> RouteStep {
+        let refusal = match failure {
+            AskFailure::NotSent => Refusal::new(ErrorKind::HomeUnavailable),
+            AskFailure::NoAnswer => {
+                self.may_run = true;
+                Refusal::new(ErrorKind::OutcomeUnknown)
+            }
+            AskFailure::Refused(refusal) if refusal.kind != ErrorKind::HomeMoved => {
+                return RouteStep::Refuse(self.truthful(refusal));
+            }
+            AskFailure::Refused(refusal) => refusal,
+        };
+        match (self.asked, self.placement.copy) {
+            (Role::Home, Some(to)) => {
+                self.asked = Role::Substitute;
+                let role = Role::Substitute;
+                RouteStep::Ask { to, role }
+            }
+            _ => RouteStep::Refuse(self.truthful(refusal)),
+        }
+    }
+
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        let not_run = refusal.kind.answer().run_state == RunState::NotRun;
+        if self.may_run && not_run {
+            return Refusal {
+                kind: ErrorKind::OutcomeUnknown,
+                ..refusal
+            };
+        }
+        refusal
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_once/src/table/adoption.rs
@@ -0,0 +1,102 @@
+//! Proposing, activating and aborting epochs.
+
+use rhubarblanding_core::ids::TableVersion;
+use rhubarblanding_core::time::UnixMillis;
+use serde::{Deserialize, Serialize};
+
+use super::{Epoch, HomeTable, Member, MemberId, Phase, sorted};
+
+/// What a node did with a table that it was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Adoption {
+    /// The table is in force. If it proposes an epoch, the node has taken no part in running any
+    /// key of that epoch under an earlier one, and never will.
+    Adopted,
+    /// The table is in force, but the node already took part in running a key of the proposed
+    /// epoch; it goes on under the earlier one.
+    TooLate {
+        /// Latest mint time of the keys that the node took part in running.
+        latest_mint: UnixMillis,
+    },
+    /// The table is in force, but the proposed epoch begins too far in the future by the node's
+    /// clock; it goes on under the earlier one.
+    TooFar,
+    /// The node has a newer table.
+    Stale,
+}
+
+/// Answer of a node that was given a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdoptionReply {
+    /// The node.
+    pub member: MemberId,
+    /// Version of the table that it was given.
+    pub version: TableVersion,
+    /// What it did.
+    pub adoption: Adoption,
+}
+
+impl Epoch {
+    /// Whether no key can be run under this epoch while only the members for which `stopped`
+    /// is false take part.
+    ///
+    /// Each run needs two members that [can pair](Epoch::can_pair), or the only member. So the
+    /// members that have not stopped must not include such a pair.
+    pub fn is_closed_by(&self, stopped: impl Fn(MemberId) -> bool) -> bool {
+        let running: Vec<&Member> = self
+            .members
+            .iter()
+            .filter(|member| !stopped(member.id))
+            .collect();
+        if self.members.len() == 1 {
+            return running.is_empty();
+        }
+        !running
+            .iter()
+            .enumerate()
+            .any(|(i, a)| running[i + 1..].iter().any(|b| self.can_pair(a, b)))
+    }
+}
+
+impl HomeTable {
+    /// Table that proposes `members` for keys minted at or after `from`, in place of any earlier
+    /// proposal.
+    ///
+    /// It is `None` if `from` is not later than the newest active epoch or `members` is empty.
+    pub fn propose(&self, from: UnixMillis, members: Vec<Member>) -> Option<Self> {
+        if from <= self.newest_active().from || members.is_empty() {
+            return None;
+        }
+        let mut table = self.abort();
+        table.epochs.push(Epoch {
+            version: table.version,
+            from,
+            members: sorted(members),
+            phase: Phase::Proposed,
+        });
+        Some(table)
+    }
+
+    /// Table without the proposed epoch.
+    pub fn abort(&self) -> Self {
+        let mut table = self.clone();
+        table.epochs.truncate(self.active_len());
+        table.version = self.next_version();
+        table
+    }
+
+    /// Table in which the proposed epoch is active, without the epochs whose keys were all minted
+    /// before `expired`.
+    pub fn activate(&self, expired: UnixMillis) -> Self {
+        let mut table = self.clone();
+        table.version = self.next_version();
+        if let Some(epoch) = table.epochs.last_mut() {
+            epoch.phase = Phase::Active;
+        }
+        let starts_by = |epoch: &&Epoch| epoch.from <= expired;
+        let ended = table.epochs.iter().filter(starts_by).count();
+        table.epochs.drain(..ended.saturating_sub(1));
+        table
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_once/src/time.rs
@@ -0,0 +1,12 @@
+//! The two clocks that decision code is given.
+
+use rhubarblanding_core::time::{MonoTime, UnixMillis};
+
+/// Current time, read by the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Now {
+    /// Monotonic clock, used for timeouts.
+    pub mono: MonoTime,
+    /// Wall clock, used to bound mint times and to expire records. Safety does not depend on it.
+    pub wall: UnixMillis,
+}
--- /dev/null
+++ b/crates/rhubarblanding_once/tests/at_most_once/common/pair.rs
@@ -0,0 +1,110 @@
+//! Three members of a service, of which one is home and one is copy of a key.
+
+use rhubarblanding_core::ids::IdempotencyKey;
+use rhubarblanding_once::prelude::*;
+
+use super::{START, answer, at, member, service};
+
+pub struct Pair {
+    ledgers: Vec<Ledger>,
+    pub key: IdempotencyKey,
+    pub home: usize,
+    pub copy: usize,
+    millis: u64,
+}
+
+impl Pair {
+    pub fn new() -> Self {
+        Self::with_settings(LedgerSettings::default())
+    }
+
+    pub fn with_settings(settings: LedgerSettings) -> Self {
+        let members: Vec<Member> = (0..3).map(|i| member(i, 1, i)).collect();
+        let table = HomeTable::bootstrap(service(), START, members.clone()).unwrap();
+        let key = IdempotencyKey::mint(START, [7; 10]);
+        let placement = table.place(key).unwrap();
+        let index = |id: MemberId| members.iter().position(|m| m.id == id).unwrap();
+        let (home, copy) = (index(placement.home), index(placement.copy.unwrap()));
+        let new = |member: &Member| {
+            let mut ledger = Ledger::new(member.clone(), settings);
+            ledger.adopt(at(0), table.clone());
+            ledger
+        };
+        let ledgers = members.iter().map(new).collect();
+        Self {
+            ledgers,
+            key,
+            home,
+            copy,
+            millis: 0,
+        }
+    }
+
+    pub fn table(&self) -> Option<&HomeTable> {
+        self.ledgers[0].table()
+    }
+
+    pub fn answer(&self) -> RecordedAnswer {
+        answer(b"reserved")
+    }
+
+    fn ask(&mut self, node: usize, caller: u64, role: Role) -> Vec<Output> {
+        let req = AttemptRequest {
+            caller: CallerId(caller),
+            key: self.key,
+            fingerprint: Fingerprint(1),
+            role,
+        };
+        self.ledgers[node].handle(at(self.millis), Input::Attempt(req))
+    }
+
+    pub fn ask_home(&mut self, caller: u64) -> Vec<Output> {
+        self.ask(self.home, caller, Role::Home)
+    }
+
+    pub fn ask_copy(&mut self, caller: u64) -> Vec<Output> {
+        self.ask(self.copy, caller, Role::Substitute)
+    }
+
+    /// Lets the timeouts of the home pass.
+    pub fn time_out(&mut self) -> Vec<Output> {
+        self.millis += 1_000;
+        self.ledgers[self.home].handle(at(self.millis), Input::Tick)
+    }
+
+    /// Ends the run that was dispatched by the home.
+    pub fn end(&mut self, dispatched: &[Output], outcome: Outcome) -> Vec<Output> {
+        let Some(Output::Dispatch { key, run, .. }) = dispatched.last().cloned() else {
+            panic!("not dispatched: {dispatched:?}");
+        };
+        let input = Input::Outcome { key, run, outcome };
+        self.ledgers[self.home].handle(at(self.millis), input)
+    }
+
+    /// Delivers the messages in `out`, sent by the home, and those that they cause. Returns the
+    /// other outputs.
+    pub fn exchange(&mut self, out: Vec<Output>) -> Vec<Output> {
+        self.exchange_from(self.home, out)
+    }
+
+    pub fn exchange_from(&mut self, node: usize, out: Vec<Output>) -> Vec<Output> {
+        let mut rest = Vec::new();
+        let mut queue: Vec<(usize, Output)> = out.into_iter().map(|o| (node, o)).collect();
+        while let Some((node, output)) = queue.pop() {
+            let Output::Send { to, msg } = output else {
+                rest.push(output);
+                continue;
+            };
+            let from = self.ledgers[node].member().id;
+            let to_node = self
+                .ledgers
+                .iter()
+                .position(|l| l.member().id == to)
+                .unwrap();
+            let envelope = Envelope { from, to, msg };
+            let out = self.ledgers[to_node].handle(at(self.millis), Input::Peer(envelope));
+            queue.extend(out.into_iter().map(|o| (to_node, o)));
+        }
+        rest
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_once/tests/at_most_once/ledger.rs
@@ -0,0 +1,92 @@
+//! The path of one key through its home and copy.
+
+use crate::common::pair::Pair;
+use googletest::prelude::*;
+use rhubarblanding_core::error::{ErrorKind, Refusal};
+use rhubarblanding_once::prelude::*;
+
+fn refused(outputs: &[Output]) -> Vec<ErrorKind> {
+    let kind = |output: &Output| match output {
+        Output::Refuse { refusal, .. } => Some(refusal.kind),
+        _ => None,
+    };
+    outputs.iter().filter_map(kind).collect()
+}
+
+#[gtest]
+fn home_dispatches_after_the_copy_acknowledged() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    expect_that!(out, elements_are![pat!(Output::Send { .. })]);
+    let out = pair.exchange(out);
+    expect_that!(out, elements_are![pat!(Output::Dispatch { .. })]);
+}
+
+#[gtest]
+fn repeat_joins_and_both_get_the_answer() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    expect_that!(pair.ask_home(2), is_empty());
+    let out = pair.end(&out, Outcome::Answered(pair.answer()));
+    let answers = out.iter().filter(|o| matches!(o, Output::Answer { .. }));
+    expect_that!(answers.count(), eq(2));
+    pair.exchange(out);
+    expect_that!(pair.ask_copy(3), elements_are![pat!(Output::Answer { .. })]);
+}
+
+#[gtest]
+fn shed_key_is_free_again() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    let out = pair.end(&out, Outcome::Shed);
+    expect_that!(refused(&out), eq(&vec![ErrorKind::BackendShed]));
+    pair.exchange(out);
+    let out = pair.ask_home(2);
+    let out = pair.exchange(out);
+    expect_that!(out, elements_are![pat!(Output::Dispatch { .. })]);
+}
+
+#[gtest]
+fn refused_attempt_ignores_a_late_acknowledgement() {
+    let mut pair = Pair::new();
+    let sent = pair.ask_home(1);
+    let out = pair.time_out();
+    expect_that!(refused(&out), eq(&vec![ErrorKind::HomeUnavailable]));
+    expect_that!(pair.exchange(sent), is_empty());
+}
+
+#[gtest]
+fn lost_outcome_is_unknown_until_it_is_settled() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    let dispatched = pair.exchange(out);
+    let out = pair.end(&dispatched, Outcome::Lost);
+    expect_that!(refused(&out), eq(&vec![ErrorKind::OutcomeUnknown]));
+    expect_that!(
+        refused(&pair.ask_home(2)),
+        eq(&vec![ErrorKind::OutcomeUnknown])
+    );
+    expect_that!(
+        refused(&pair.ask_copy(3)),
+        eq(&vec![ErrorKind::OutcomeUnknown])
+    );
+    pair.end(&dispatched, Outcome::Answered(pair.answer()));
+    expect_that!(pair.ask_home(4), elements_are![pat!(Output::Answer { .. })]);
+}
+
+#[gtest]
+fn unreachable_home_makes_not_run_refusals_unknown() {
+    let pair = Pair::new();
+    let (mut route, _) = Route::start(pair.table(), pair.key).unwrap();
+    expect_that!(
+        route.on_failure(AskFailure::NoAnswer),
+        pat!(RouteStep::Ask { .. })
+    );
+    let shed = Refusal::new(ErrorKind::BackendShed);
+    let RouteStep::Refuse(refusal) = route.on_failure(AskFailure::Refused(shed)) else {
+        panic!("asked a third member");
+    };
+    expect_that!(refusal.kind, eq(ErrorKind::OutcomeUnknown));
+}
--- /dev/null
+++ b/crates/rhubarblanding_once/tests/at_most_once/main.rs
@@ -0,0 +1,5 @@
+//! At-most-once execution, one file per area.
+#![expect(clippy::unwrap_used, reason = "a failed fixture fails its test")]
+
+mod common;
+mod ledger;
