--- a/tools/standins/src/lib.rs
+++ b/tools/standins/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod headers;
 pub mod http;
 pub mod load;
+pub mod store;
