--- a/tools/standins/src/command/mod.rs
+++ b/tools/standins/src/command/mod.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use clap::{ArgMatches, Command};
-use error_stack::Report;
+use error_stack::{Report, ResultExt};
 
 use crate::error::StandinError;
+use crate::store;
 
 /// The whole command line.
 pub fn command() -> Command {
@@ -17,6 +18,7 @@
         .subcommand_required(true)
         .subcommand(backend::command())
         .subcommand(load::command())
+        .subcommand(store::command())
 }
 
 /// Runs the subcommand that `matches` names.
@@ -28,6 +30,9 @@
     match matches.subcommand() {
         Some(("backend", matches)) => backend::run(matches).await,
         Some(("load", matches)) => load::run(matches).await,
+        Some(("store", matches)) => store::run(matches)
+            .await
+            .change_context(StandinError::Listen),
         _ => Err(Report::new(StandinError::Settings).attach("no such subcommand")),
     }
 }
