Add membership by gossip with partial views

Nodes had no way to learn of each other. The new crate is a state machine without I/O: probes with indirect probes and refutable suspicion, changes pushed to a random sample of peers, partial views by service, a directory of contacts, tombstones, a cap on ejection, comparison of views, and spreading of the operators' document in parts.

A record is ordered by incarnation, revision and verdict, so merging is a maximum and the order of arrival does not matter.

--- a/crates/rhubarblanding_membership/src/lib.rs
+++ b/crates/rhubarblanding_membership/src/lib.rs
@@ -1,1 +1,30 @@
-//! Membership by gossip: announcement, failure detection and spreading of state.
+//! Membership by gossip: announcement, failure detection and spreading of state between nodes.
+//!
+//! [`Membership`](membership::Membership) is a state machine without I/O. Its owner hands in the
+//! time, a random number generator and one [`Input`](io::Input) at a time, and carries out the
+//! [`Output`](io::Output)s. A node keeps the targets of the services that it calls and of its own
+//! service, a small sample of peers for spreading, and a directory of contacts for every other
+//! service.
+
+pub mod directory;
+pub mod document;
+pub mod io;
+pub mod membership;
+pub mod message;
+pub mod record;
+pub mod rumours;
+pub mod sample;
+pub mod settings;
+pub mod testing;
+pub mod view;
+pub mod watchers;
+
+/// The names that a user of this crate types daily.
+pub mod prelude {
+    pub use crate::document::{Document, DocumentPart};
+    pub use crate::io::{Event, Health, Input, Output};
+    pub use crate::membership::Membership;
+    pub use crate::message::{Body, GossipMessage};
+    pub use crate::record::{Record, Stamp, Verdict};
+    pub use crate::settings::{Mechanisms, MembershipSettings, ViewMode};
+}
--- /dev/null
+++ b/crates/rhubarblanding_membership/src/membership/exchange.rs
@@ -0,0 +1,212 @@
+//! Joining, exchange of peer samples, and comparison of views.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::{IndexedRandom, IteratorRandom};
+use rhubarblanding_core::prelude::{HostId, ServiceName};
+
+use super::{Cx, Membership, Timer};
+use crate::message::{Body, Exchange, ServiceRecords};
+use crate::record::{Record, Verdict};
+
+impl Membership {
+    /// Seeds contacted at a time.
+    const JOIN_FANOUT: usize = 2;
+    /// Time for which views may differ after a comparison found a difference.
+    const SETTLING_AFTER_DIFFERENCE: Duration = Duration::from_secs(5);
+    /// Directory entries in one exchange.
+    const SHUFFLE_CONTACTS: usize = 3;
+
+    /// Introduces this node to seeds.
+    pub(super) fn join(&mut self, cx: &mut Cx<'_>) {
+        let me = self.me.host();
+        let others = self.seeds.iter().filter(|host| **host != me);
+        let chosen = others.copied().choose_multiple(cx.rng, Self::JOIN_FANOUT);
+        for seed in chosen {
+            let record = Box::new(self.me.clone());
+            self.send(cx, seed, Body::Join(record));
+        }
+    }
+
+    pub(super) fn on_join(&mut self, cx: &mut Cx<'_>, from: HostId, record: &Record) {
+        let mut reply = self.exchange(cx, from);
+        reply.contacts = self.directory.entries();
+        self.send(cx, from, Body::ShuffleReply(reply));
+        self.sample.offer(cx.rng, record);
+        self.learn(cx, record);
+    }
+
+    pub(super) fn on_shuffle_timer(&mut self, cx: &mut Cx<'_>) {
+        let due = cx.now + self.settings.shuffle_interval;
+        self.timers.subscribe(due, Timer::Shuffle);
+        let own_zone = cx.rng.random_bool(0.5);
+        let peer = match own_zone {
+            true => self.sample.choose_own_zone(cx.rng),
+            false => self.sample.choose_any(cx.rng),
+        };
+        if let Some(peer) = peer {
+            self.shuffle_with(cx, peer);
+        }
+    }
+
+    pub(super) fn shuffle_with_seed(&mut self, cx: &mut Cx<'_>) {
+        let me = self.me.host();
+        let seed = self.seeds.iter().filter(|host| **host != me).choose(cx.rng);
+        if let Some(seed) = seed.copied() {
+            self.shuffle_with(cx, seed);
+        }
+    }
+
+    pub(super) fn on_shuffle(&mut self, cx: &mut Cx<'_>, from: HostId, exchange: Exchange) {
+        let reply = self.exchange(cx, from);
+        self.send(cx, from, Body::ShuffleReply(reply));
+        self.merge_exchange(cx, exchange);
+    }
+
+    pub(super) fn merge_exchange(&mut self, cx: &mut Cx<'_>, exchange: Exchange) {
+        for record in &exchange.peers {
+            if !self.is_outdated(record) {
+                self.sample.offer(cx.rng, record);
+                self.learn(cx, record);
+            }
+        }
+        for contacts in &exchange.contacts {
+            self.directory.merge(cx.rng, contacts);
+        }
+    }
+
+    /// Compares the view of one service after the other with a member of that service.
+    pub(super) fn on_sync_timer(&mut self, cx: &mut Cx<'_>) {
+        let interval = match cx.now < self.settled_at {
+            true => self.settings.fast_sync_interval,
+            false => self.settings.sync_interval,
+        };
+        self.timers.subscribe(cx.now + interval, Timer::Sync);
+        let next = self.view.service_after(self.last_synced.as_ref()).cloned();
+        self.last_synced.clone_from(&next);
+        if let Some(service) = next {
+            self.sync(cx, service);
+        }
+    }
+
+    pub(super) fn on_digest(
+        &mut self,
+        cx: &mut Cx<'_>,
+        from: HostId,
+        service: ServiceName,
+        hash: u64,
+    ) {
+        if !self.view.holds(&service) || self.view.digest(&service) == hash {
+            return;
+        }
+        let reply = ServiceRecords {
+            records: self.view.records(&service),
+            service,
+            answer: true,
+        };
+        self.send(cx, from, Body::Records(reply));
+    }
+
+    pub(super) fn on_records(&mut self, cx: &mut Cx<'_>, from: HostId, told: ServiceRecords) {
+        if !self.view.holds(&told.service) {
+            return;
+        }
+        let lacking = match told.answer {
+            true => self.lacking(&told),
+            false => Vec::new(),
+        };
+        let before = self.view.digest(&told.service);
+        for record in &told.records {
+            self.adopt(cx, record);
+        }
+        if before != self.view.digest(&told.service) {
+            let soon = cx.now + Self::SETTLING_AFTER_DIFFERENCE;
+            self.settled_at = self.settled_at.max(soon);
+        }
+        self.view.set_resolved(&told.service);
+        if !lacking.is_empty() {
+            let reply = ServiceRecords {
+                service: told.service,
+                records: lacking,
+                answer: false,
+            };
+            self.send(cx, from, Body::Records(reply));
+        }
+    }
+
+    /// Compares views with a peer that was held for dead or suspect and answered.
+    pub(super) fn sync_if_doubtful(&mut self, cx: &mut Cx<'_>, peer: HostId) {
+        let Some(record) = self.record(peer) else {
+            return;
+        };
+        if record.is_doubtful() && self.settings.mechanisms.anti_entropy {
+            let service = record.info.service.clone();
+            self.send_digest(cx, peer, service);
+        }
+    }
+
+    fn shuffle_with(&mut self, cx: &mut Cx<'_>, peer: HostId) {
+        let exchange = self.exchange(cx, peer);
+        self.send(cx, peer, Body::Shuffle(exchange));
+    }
+
+    /// Part of the sample and of the directory; with the candidates for watching for a peer of the
+    /// own availability zone.
+    fn exchange(&mut self, cx: &mut Cx<'_>, peer: HostId) -> Exchange {
+        let mut peers = self.sample.records(cx.rng, self.settings.shuffle_len);
+        peers.push(self.me.clone());
+        let peer_zone = self.record(peer).map(|record| &record.info.zone);
+        if peer_zone == Some(&self.me.info.zone) {
+            let candidates = self
+                .watchers
+                .records()
+                .take(self.settings.watchers_per_zone);
+            peers.extend(candidates.cloned());
+        }
+        Exchange {
+            peers,
+            contacts: self.directory.sample(cx.rng, Self::SHUFFLE_CONTACTS),
+        }
+    }
+
+    fn sync(&mut self, cx: &mut Cx<'_>, service: ServiceName) {
+        if !self.settings.mechanisms.anti_entropy {
+            return;
+        }
+        let me = self.me.host();
+        let known = self.view.targets(&service);
+        let hosts: Vec<_> = known.iter().map(|target| target.info.host).collect();
+        let others: Vec<_> = hosts.into_iter().filter(|host| *host != me).collect();
+        if let Some(peer) = others.choose(cx.rng).copied() {
+            self.send_digest(cx, peer, service);
+        }
+    }
+
+    fn send_digest(&mut self, cx: &mut Cx<'_>, peer: HostId, service: ServiceName) {
+        let hash = self.view.digest(&service);
+        self.send(cx, peer, Body::Digest { service, hash });
+    }
+
+    /// Takes in a record from a comparison of views.
+    ///
+    /// A suspect that is not known yet is left out: it may be long dead and its tombstone expired.
+    fn adopt(&mut self, cx: &mut Cx<'_>, record: &Record) {
+        let unknown = self.view.get(record.host()).is_none();
+        if unknown && record.verdict == Verdict::Suspect {
+            return;
+        }
+        self.learn(cx, record);
+        self.sample.offer(cx.rng, record);
+    }
+
+    /// Records that the sender of `told` lacks or holds in an older state.
+    fn lacking(&self, told: &ServiceRecords) -> Vec<Record> {
+        let is_newer = |record: &Record| {
+            let theirs = told.records.iter().find(|r| r.host() == record.host());
+            theirs.is_none_or(|theirs| theirs.stamp() < record.stamp())
+        };
+        let mine = self.view.records(&told.service).into_iter();
+        mine.filter(is_newer).collect()
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_membership/src/membership/spreading.rs
@@ -0,0 +1,217 @@
+//! Spreading of changes, defence against false ones, and periodic upkeep.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rhubarblanding_core::prelude::{HostId, Incarnation, TargetState};
+
+use super::{Cx, Membership, Timer};
+use crate::io::Event;
+use crate::message::Body;
+use crate::record::{Record, Stamp, Verdict};
+
+impl Membership {
+    /// Greatest number of changes that travel along on a message sent for another reason.
+    pub(super) const PIGGYBACK_MAX: usize = 4;
+    /// Time between two rounds of upkeep.
+    pub(super) const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
+    /// Pushes that a stopping node sends at once, since it may not get to send more.
+    const LAST_PUSHES: usize = 4;
+    /// Share of the rounds of upkeep in which a seed is contacted, to heal a split.
+    const SEED_CONTACT_SHARE: f64 = 1.0 / 60.0;
+
+    /// Announces the own target in its present state.
+    pub(super) fn publish(&mut self, cx: &mut Cx<'_>) {
+        self.me.revision += 1;
+        let me = self.me.clone();
+        self.absorb_own(cx, &me);
+        self.rumours.insert(cx.now, me, self.settings.gossip_rounds);
+        let pushes = match self.me.info.state {
+            TargetState::Stopped => Self::LAST_PUSHES,
+            _ => 1,
+        };
+        for _ in 0..pushes {
+            self.push(cx);
+        }
+        self.schedule_gossip(cx);
+    }
+
+    /// Takes the own record into the view and the lists made from records.
+    pub(super) fn absorb_own(&mut self, cx: &mut Cx<'_>, me: &Record) {
+        let merge = self.view.merge(cx.now, me);
+        for event in merge.events {
+            cx.event(event);
+        }
+        self.watchers.observe(me);
+        self.directory.observe(cx.rng, me);
+    }
+
+    /// Takes in changes that a message carried, and spreads those that are new.
+    pub(super) fn learn_rumours(&mut self, cx: &mut Cx<'_>, records: Vec<Record>) {
+        for record in records {
+            if record.host() == self.me.host() {
+                self.defend(cx, &record);
+                continue;
+            }
+            let is_news = self.rumours.is_news(&record) && !self.is_superseded(&record);
+            self.learn(cx, &record);
+            if is_news {
+                self.spread(cx, record);
+            }
+        }
+    }
+
+    /// Takes in one record without spreading it.
+    pub(super) fn learn(&mut self, cx: &mut Cx<'_>, record: &Record) {
+        if record.host() == self.me.host() {
+            self.defend(cx, record);
+            return;
+        }
+        if !self.is_outdated(record) {
+            self.directory.observe(cx.rng, record);
+            self.watchers.observe(record);
+        }
+        self.sample.update(record);
+        let merge = self.view.merge(cx.now, record);
+        for event in merge.events {
+            cx.event(event);
+        }
+        if merge.applied && record.verdict == Verdict::Suspect {
+            self.await_refutation(cx, record);
+        }
+    }
+
+    /// Queues `record` for pushing.
+    pub(super) fn spread(&mut self, cx: &mut Cx<'_>, record: Record) {
+        self.rumours
+            .insert(cx.now, record, self.settings.gossip_rounds);
+        self.schedule_gossip(cx);
+    }
+
+    /// Pushes queued changes to random peers.
+    pub(super) fn on_gossip_timer(&mut self, cx: &mut Cx<'_>) {
+        self.gossip_pending = false;
+        self.push(cx);
+        if self.rumours.has_hot() || self.version_rounds > 0 {
+            self.gossip_pending = true;
+            let due = cx.now + self.settings.gossip_interval;
+            self.timers.subscribe(due, Timer::Gossip);
+        }
+    }
+
+    /// Arranges for a push within one interval.
+    pub(super) fn schedule_gossip(&mut self, cx: &mut Cx<'_>) {
+        if self.gossip_pending || !self.settings.mechanisms.eager_spreading {
+            return;
+        }
+        self.gossip_pending = true;
+        let wait = self
+            .settings
+            .gossip_interval
+            .mul_f64(cx.rng.random::<f64>());
+        self.timers.subscribe(cx.now + wait, Timer::Gossip);
+    }
+
+    /// Tells a sender that is held for dead that it is, so that it takes a new incarnation.
+    pub(super) fn answer_the_dead(
+        &mut self,
+        cx: &mut Cx<'_>,
+        from: HostId,
+        incarnation: Incarnation,
+        body: &Body,
+    ) {
+        let known = self.record(from);
+        let held_dead = known.is_some_and(|r| r.is_final() && r.info.incarnation >= incarnation);
+        if held_dead && !matches!(body, Body::Ping(_)) {
+            self.send(cx, from, Body::Rumours);
+        }
+    }
+
+    pub(super) fn on_housekeeping(&mut self, cx: &mut Cx<'_>) {
+        let due = cx.now + Self::HOUSEKEEPING_INTERVAL;
+        self.timers.subscribe(due, Timer::Housekeeping);
+        self.rumours.expire(cx.now, self.settings.rumour_ttl);
+        for event in self.view.expire(cx.now, self.settings.tombstone_ttl) {
+            cx.event(event);
+        }
+        self.contact_seeds(cx);
+        self.update_watching(cx);
+    }
+
+    /// Doubts the whole state after a pause of the process.
+    pub(super) fn check_pause(&mut self, cx: &mut Cx<'_>) {
+        let pause = cx.now.since(self.last_tick);
+        self.last_tick = cx.now;
+        if pause > self.settings.suspicion_timeout {
+            self.rumours.clear();
+            self.view.doubt_all();
+        }
+    }
+
+    fn push(&mut self, cx: &mut Cx<'_>) {
+        if !self.settings.mechanisms.eager_spreading {
+            return;
+        }
+        let records = self.rumours.next_round(self.settings.max_rumours);
+        self.version_rounds = self.version_rounds.saturating_sub(1);
+        let fanout = self.settings.gossip_fanout;
+        for to in self.sample.choose(cx.rng, fanout, self.me.host()) {
+            self.send_with(cx, to, Body::Rumours, records.clone());
+        }
+    }
+
+    /// Answers a record about the own node that others hold and that is not its own.
+    fn defend(&mut self, cx: &mut Cx<'_>, record: &Record) {
+        if !self.settings.mechanisms.refutation || self.me.is_final() {
+            return;
+        }
+        let mine = self.me.stamp();
+        let theirs = record.stamp();
+        if theirs <= mine {
+            return;
+        }
+        let same_life = theirs.incarnation == mine.incarnation;
+        if same_life && theirs.revision != Stamp::LAST_REVISION {
+            self.me.revision = theirs.revision;
+        } else {
+            self.me.info.incarnation = Incarnation(theirs.incarnation.0 + 1);
+            self.me.revision = 0;
+            cx.event(Event::IncarnationRaised(self.me.info.incarnation));
+        }
+        self.publish(cx);
+    }
+
+    fn is_superseded(&self, record: &Record) -> bool {
+        let known = self.record(record.host());
+        known.is_some_and(|known| known.stamp() >= record.stamp())
+    }
+
+    pub(super) fn is_outdated(&self, record: &Record) -> bool {
+        let known = self.record(record.host());
+        let newer_known = known.is_some_and(|known| known.stamp() > record.stamp());
+        newer_known || self.rumours.is_outdated(record)
+    }
+
+    fn contact_seeds(&mut self, cx: &mut Cx<'_>) {
+        if self.sample.is_isolated() {
+            self.join(cx);
+        } else if cx.rng.random_bool(Self::SEED_CONTACT_SHARE) {
+            self.shuffle_with_seed(cx);
+        }
+    }
+
+    fn update_watching(&mut self, cx: &mut Cx<'_>) {
+        let ranked = self
+            .watchers
+            .is_among(self.me.host(), self.settings.watchers_per_zone);
+        let since = *self.ranked_since.get_or_insert(cx.now);
+        if !ranked {
+            self.ranked_since = None;
+        }
+        let watch = ranked && cx.now.since(since) >= self.settings.watch_delay;
+        if watch != self.watching {
+            self.watching = watch;
+            cx.event(Event::WatchStore(watch));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_membership/src/message.rs
@@ -0,0 +1,110 @@
+//! Messages between members.
+
+use rhubarblanding_core::prelude::{DocVersion, HostId, Incarnation, ServiceName};
+use serde::{Deserialize, Serialize};
+use strum::{EnumDiscriminants, EnumIter, IntoStaticStr};
+
+use crate::document::Document;
+use crate::record::Record;
+
+/// Number that joins a probe to its answer, unique at the node that probes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ProbeSeq(pub u64);
+
+/// Hosts that know a service's targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contacts {
+    /// The service.
+    pub service: ServiceName,
+    /// Hosts to ask.
+    pub hosts: Vec<HostId>,
+}
+
+/// Part of a peer sample and of the directory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exchange {
+    /// Records of peers.
+    pub peers: Vec<Record>,
+    /// Entries of the directory.
+    pub contacts: Vec<Contacts>,
+}
+
+/// Records of one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRecords {
+    /// The service.
+    pub service: ServiceName,
+    /// Records that the sender holds.
+    pub records: Vec<Record>,
+    /// Whether the receiver should answer with what the sender lacks.
+    pub answer: bool,
+}
+
+/// What a message asks or tells.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, IntoStaticStr, EnumDiscriminants)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+#[strum_discriminants(name(BodyKind), derive(Hash, EnumIter, IntoStaticStr))]
+#[strum_discriminants(doc = "Kind of a [`Body`].")]
+#[strum_discriminants(strum(serialize_all = "snake_case"))]
+pub enum Body {
+    /// Only what every message carries.
+    Rumours,
+    /// Probe.
+    Ping(ProbeSeq),
+    /// Answer to a probe.
+    Ack(ProbeSeq),
+    /// Request to probe `target` and to pass its answer on.
+    PingRequest {
+        /// Number of the probe at the node that asks.
+        seq: ProbeSeq,
+        /// Host to probe.
+        target: HostId,
+    },
+    /// First message to a peer; the answer carries the whole directory.
+    Join(Box<Record>),
+    /// Exchange of peer samples.
+    Shuffle(Exchange),
+    /// Answer to [`Body::Shuffle`] or [`Body::Join`].
+    ShuffleReply(Exchange),
+    /// Comparison of a service's view.
+    Digest {
+        /// The service.
+        service: ServiceName,
+        /// Hash over the live records.
+        hash: u64,
+    },
+    /// Records of a service.
+    Records(ServiceRecords),
+    /// Question for the targets of a service.
+    Lookup(ServiceName),
+    /// Answer to [`Body::Lookup`] of a node that does not hold the service.
+    Contacts(Contacts),
+    /// Question for the parts of the document changed since a version.
+    DocumentRequest(DocVersion),
+    /// Parts of the document.
+    Document(Document),
+}
+
+/// One message between members.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GossipMessage {
+    /// Sender.
+    pub from: HostId,
+    /// Life of the sender.
+    pub incarnation: Incarnation,
+    /// Version of the operators' document that the sender holds.
+    pub document: DocVersion,
+    /// Changes that travel along.
+    pub rumours: Vec<Record>,
+    /// What the message asks or tells.
+    pub body: Body,
+}
+
+impl GossipMessage {
+    /// Kind of the message.
+    pub fn kind(&self) -> BodyKind {
+        BodyKind::from(&self.body)
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_membership/src/settings.rs
@@ -0,0 +1,144 @@
+//! Settings of one member.
+
+use std::time::Duration;
+
+use rhubarblanding_core::prelude::HostId;
+use strum::{Display, EnumString, IntoStaticStr};
+
+/// Which targets a node keeps in detail.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ViewMode {
+    /// Targets of the node's own service and of the services that it calls.
+    #[default]
+    Partial,
+    /// Targets of every service.
+    Full,
+}
+
+/// Mechanisms that tests switch off, to show that a check notices their absence.
+///
+/// Every field is `true` in production.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mechanisms {
+    /// A suspected node refutes the suspicion.
+    pub refutation: bool,
+    /// Tombstones reject records of dead incarnations.
+    pub tombstones: bool,
+    /// The share of a service's targets that may be declared down is capped.
+    pub ejection_cap: bool,
+    /// Changes are pushed at once, not only carried on probes.
+    pub eager_spreading: bool,
+    /// Nodes compare digests of their views.
+    pub anti_entropy: bool,
+    /// A document older than the one held is rejected.
+    pub version_check: bool,
+}
+
+impl Default for Mechanisms {
+    fn default() -> Self {
+        Self {
+            refutation: true,
+            tombstones: true,
+            ejection_cap: true,
+            eager_spreading: true,
+            anti_entropy: true,
+            version_check: true,
+        }
+    }
+}
+
+/// Settings of one member.
+#[derive(Clone, Debug)]
+pub struct MembershipSettings {
+    /// Peer addresses to join through while the platform's service is unavailable.
+    pub seeds: Vec<HostId>,
+    /// Which targets are kept in detail.
+    pub view: ViewMode,
+    /// Time between two probes.
+    pub probe_interval: Duration,
+    /// Time to wait for the answer to a direct probe; indirect probes get twice this time.
+    pub probe_timeout: Duration,
+    /// Number of peers asked to probe a target that did not answer.
+    pub indirect_probes: usize,
+    /// Time between suspicion and declaring a target down.
+    pub suspicion_timeout: Duration,
+    /// Time between two pushes of fresh changes.
+    pub gossip_interval: Duration,
+    /// Number of peers that one push goes to.
+    pub gossip_fanout: usize,
+    /// Number of pushes that carry a change.
+    pub gossip_rounds: u32,
+    /// Greatest number of changes in one message.
+    pub max_rumours: usize,
+    /// Time for which a change that was seen is remembered, to not spread it again.
+    pub rumour_ttl: Duration,
+    /// Time between two exchanges of peer samples.
+    pub shuffle_interval: Duration,
+    /// Number of peer records in one exchange.
+    pub shuffle_len: usize,
+    /// Peers kept in the sample from the node's own availability zone.
+    pub sample_own_zone: usize,
+    /// Peers kept in the sample from each other availability zone.
+    pub sample_other_zone: usize,
+    /// Contacts kept for each service in the directory.
+    pub contacts_per_service: usize,
+    /// Time between two comparisons of a service's view with another holder of it.
+    pub sync_interval: Duration,
+    /// Time between two comparisons while views may differ: after the start and after a difference.
+    pub fast_sync_interval: Duration,
+    /// Time for which views may differ after the start.
+    pub settling_time: Duration,
+    /// Time after which an unanswered lookup or document request is repeated.
+    pub request_timeout: Duration,
+    /// Time for which a looked-up service is kept after the last lookup.
+    pub lookup_ttl: Duration,
+    /// Shortest time for which a dead incarnation is remembered.
+    ///
+    /// It must exceed several rounds of probing over the view.
+    pub tombstone_ttl: Duration,
+    /// Share of a service's targets that may be down by failure detection at a time, 0 to 1.
+    pub max_ejected_share: f64,
+    /// Nodes of each availability zone that watch the platform's service.
+    pub watchers_per_zone: usize,
+    /// Candidates for watching that each node remembers.
+    pub watcher_candidates: usize,
+    /// Time for which a node must rank among the watchers before it begins to watch.
+    pub watch_delay: Duration,
+    /// Mechanisms that tests may switch off.
+    pub mechanisms: Mechanisms,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            seeds: Vec::new(),
+            view: ViewMode::Partial,
+            probe_interval: Duration::from_secs(1),
+            probe_timeout: Duration::from_millis(500),
+            indirect_probes: 3,
+            suspicion_timeout: Duration::from_secs(5),
+            gossip_interval: Duration::from_millis(200),
+            gossip_fanout: 3,
+            gossip_rounds: 5,
+            max_rumours: 24,
+            rumour_ttl: Duration::from_secs(60),
+            shuffle_interval: Duration::from_secs(5),
+            shuffle_len: 4,
+            sample_own_zone: 8,
+            sample_other_zone: 2,
+            contacts_per_service: 3,
+            sync_interval: Duration::from_secs(5),
+            fast_sync_interval: Duration::from_secs(1),
+            settling_time: Duration::from_secs(15),
+            request_timeout: Duration::from_millis(500),
+            lookup_ttl: Duration::from_secs(600),
+            tombstone_ttl: Duration::from_secs(3600),
+            max_ejected_share: 0.34,
+            watchers_per_zone: 2,
+            watcher_candidates: 6,
+            watch_delay: Duration::from_secs(3),
+            mechanisms: Mechanisms::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_membership/src/view/mod.rs
@@ -0,0 +1,326 @@
+//! The targets that a node keeps in detail, by service.
+
+mod ejection;
+mod service;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rhubarblanding_core::prelude::{HashMap, HostId, MonoTime, ServiceName, TargetInfo};
+use slotmap::SlotMap;
+
+pub use self::ejection::EjectionCap;
+use self::service::ServiceView;
+use crate::io::{Event, Health};
+use crate::record::{Record, Verdict};
+use crate::settings::ViewMode;
+
+slotmap::new_key_type! {
+    /// Key of a target in the view.
+    pub struct TargetKey;
+}
+
+/// Whether the owner of the view is told of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Presence {
+    /// It may be used.
+    Usable,
+    /// It was declared down, but the ejection cap keeps it usable.
+    Kept,
+    /// It is remembered as a tombstone only.
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    record: Record,
+    presence: Presence,
+    changed: MonoTime,
+    unconfirmed: bool,
+}
+
+impl Entry {
+    fn health(&self) -> Health {
+        let healthy = self.record.verdict == Verdict::Alive && self.presence == Presence::Usable;
+        match healthy {
+            true => Health::Healthy,
+            false => Health::Suspect,
+        }
+    }
+}
+
+/// A target that may be used, as read from the view.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownTarget {
+    /// The target.
+    pub info: TargetInfo,
+    /// Whether it answers probes.
+    pub health: Health,
+}
+
+/// Targets of the services of interest.
+#[derive(Clone, Debug)]
+pub struct View {
+    mode: ViewMode,
+    cap: EjectionCap,
+    tombstones: bool,
+    targets: SlotMap<TargetKey, Entry>,
+    by_host: HashMap<HostId, TargetKey>,
+    services: BTreeMap<ServiceName, ServiceView>,
+}
+
+impl View {
+    /// Empty view; without `tombstones` the dead are forgotten at once.
+    pub fn new(mode: ViewMode, cap: EjectionCap, tombstones: bool) -> Self {
+        Self {
+            mode,
+            cap,
+            tombstones,
+            targets: SlotMap::with_key(),
+            by_host: HashMap::default(),
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// Whether targets of `service` are kept.
+    pub fn holds(&self, service: &ServiceName) -> bool {
+        self.mode == ViewMode::Full || self.services.contains_key(service)
+    }
+
+    /// Number of targets in the view, tombstones included.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Whether the view holds nothing.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Record of `host`.
+    pub fn get(&self, host: HostId) -> Option<&Record> {
+        let key = self.by_host.get(&host)?;
+        self.targets.get(*key).map(|entry| &entry.record)
+    }
+
+    /// Usable targets of `service`.
+    pub fn targets(&self, service: &ServiceName) -> Vec<KnownTarget> {
+        let usable = |entry: &&Entry| entry.presence != Presence::Gone;
+        let known = |entry: &Entry| KnownTarget {
+            info: entry.record.info.clone(),
+            health: entry.health(),
+        };
+        self.entries(service).filter(usable).map(known).collect()
+    }
+
+    /// Hosts of every usable target.
+    pub fn usable_hosts(&self) -> Vec<HostId> {
+        let usable = |entry: &&Entry| entry.presence != Presence::Gone;
+        let entries = self.targets.values().filter(usable);
+        entries.map(|entry| entry.record.host()).collect()
+    }
+
+    /// Takes in `record` if it is newer than what is known of its host.
+    ///
+    /// Returns whether it was, and what the owner has to be told.
+    pub fn merge(&mut self, now: MonoTime, record: &Record) -> Merge {
+        match self.by_host.get(&record.host()).copied() {
+            Some(key) => self.update(now, key, record),
+            None if self.holds(&record.info.service) => self.insert(now, record),
+            None => Merge::default(),
+        }
+    }
+
+    /// Notes that `host` answered or was confirmed by a peer.
+    pub fn confirm(&mut self, host: HostId) {
+        if let Some(entry) = self.entry_mut(host) {
+            entry.unconfirmed = false;
+        }
+    }
+
+    /// Notes that every record may be outdated, for example after a pause of the process.
+    ///
+    /// Such records are not given to peers until they are confirmed.
+    pub fn doubt_all(&mut self) {
+        for entry in self.targets.values_mut() {
+            entry.unconfirmed = true;
+        }
+    }
+
+    /// Whether the cap lets another target of `service` be declared down.
+    pub fn may_eject(&self, service: &ServiceName) -> bool {
+        self.cap
+            .allows(self.ejected(service), self.members(service))
+    }
+
+    /// Records of `service` that are given to peers.
+    pub fn records(&self, service: &ServiceName) -> Vec<Record> {
+        let sure = |entry: &&Entry| !entry.unconfirmed;
+        let entries = self.entries(service).filter(sure);
+        entries.map(|entry| entry.record.clone()).collect()
+    }
+
+    /// Forgets tombstones older than `ttl`, services not asked for lately, and ejects kept targets
+    /// as far as the cap allows.
+    pub fn expire(&mut self, now: MonoTime, ttl: Duration) -> Vec<Event> {
+        self.expire_tombstones(now, ttl);
+        let mut events = self.expire_services(now);
+        events.extend(self.eject_kept());
+        events
+    }
+
+    /// Memory taken, in bytes.
+    pub fn heap_bytes(&self) -> usize {
+        let services = self.services.iter().map(|(name, service)| {
+            size_of::<(ServiceName, ServiceView)>() + name.as_str().len() + service.heap_bytes()
+        });
+        self.targets.capacity() * (size_of::<Entry>() + size_of::<u64>())
+            + self.by_host.capacity() * (size_of::<(HostId, TargetKey)>() + 1)
+            + services.sum::<usize>()
+    }
+
+    fn entry_mut(&mut self, host: HostId) -> Option<&mut Entry> {
+        let key = self.by_host.get(&host)?;
+        self.targets.get_mut(*key)
+    }
+
+    fn entries(&self, service: &ServiceName) -> impl Iterator<Item = &Entry> {
+        let keys = self.services.get(service).into_iter();
+        keys.flat_map(ServiceView::keys)
+            .filter_map(|key| self.targets.get(key))
+    }
+
+    fn insert(&mut self, now: MonoTime, record: &Record) -> Merge {
+        if record.is_final() && !self.tombstones {
+            return Merge::default();
+        }
+        let presence = match record.is_final() {
+            true => Presence::Gone,
+            false => Presence::Usable,
+        };
+        let entry = Entry {
+            record: record.clone(),
+            presence,
+            changed: now,
+            unconfirmed: false,
+        };
+        let health = entry.health();
+        let service = record.info.service.clone();
+        let key = self.targets.insert(entry);
+        self.by_host.insert(record.host(), key);
+        self.services
+            .entry(service)
+            .or_default()
+            .insert(record.host(), key);
+        let up = Event::TargetUp {
+            info: record.info.clone(),
+            health,
+        };
+        Merge {
+            applied: true,
+            events: Vec::from_iter((presence == Presence::Usable).then_some(up)),
+        }
+    }
+
+    fn update(&mut self, now: MonoTime, key: TargetKey, record: &Record) -> Merge {
+        let Some(entry) = self.targets.get(key) else {
+            return Merge::default();
+        };
+        if record.stamp() <= entry.record.stamp() {
+            return Merge::default();
+        }
+        let before = entry.clone();
+        if before.record.info.service != record.info.service {
+            return self.move_service(now, key, &before, record);
+        }
+        let presence = self.presence_of(&before, record);
+        if let Some(entry) = self.targets.get_mut(key) {
+            entry.record = record.clone();
+            entry.presence = presence;
+            entry.changed = now;
+            entry.unconfirmed = false;
+        }
+        let events = self.change_events(key, &before);
+        if presence == Presence::Gone && !self.tombstones {
+            self.remove(key);
+        }
+        Merge {
+            applied: true,
+            events,
+        }
+    }
+
+    fn move_service(
+        &mut self,
+        now: MonoTime,
+        key: TargetKey,
+        before: &Entry,
+        record: &Record,
+    ) -> Merge {
+        self.remove(key);
+        let mut merge = match self.holds(&record.info.service) {
+            true => self.insert(now, record),
+            false => Merge::default(),
+        };
+        if before.presence != Presence::Gone {
+            merge.events.insert(0, down_event(&before.record));
+        }
+        merge.applied = true;
+        merge
+    }
+
+    fn presence_of(&self, before: &Entry, record: &Record) -> Presence {
+        if !record.is_final() {
+            return Presence::Usable;
+        }
+        let failed = record.verdict == Verdict::Down;
+        if failed && before.presence != Presence::Gone && !self.may_eject(&record.info.service) {
+            return Presence::Kept;
+        }
+        Presence::Gone
+    }
+
+    fn change_events(&self, key: TargetKey, before: &Entry) -> Vec<Event> {
+        let Some(entry) = self.targets.get(key) else {
+            return Vec::new();
+        };
+        let was_usable = before.presence != Presence::Gone;
+        let is_usable = entry.presence != Presence::Gone;
+        let info = entry.record.info.clone();
+        let health = entry.health();
+        let event = match (was_usable, is_usable) {
+            (false, true) => Some(Event::TargetUp { info, health }),
+            (true, true) => Some(Event::TargetChanged { info, health }),
+            (true, false) => Some(down_event(&before.record)),
+            (false, false) => None,
+        };
+        event.into_iter().collect()
+    }
+
+    fn remove(&mut self, key: TargetKey) {
+        let Some(entry) = self.targets.remove(key) else {
+            return;
+        };
+        self.by_host.remove(&entry.record.host());
+        if let Some(service) = self.services.get_mut(&entry.record.info.service) {
+            service.remove(entry.record.host());
+        }
+    }
+}
+
+/// Result of taking in a record.
+#[derive(Clone, Debug, Default)]
+pub struct Merge {
+    /// Whether the record was newer than what was known.
+    pub applied: bool,
+    /// What the owner has to be told.
+    pub events: Vec<Event>,
+}
+
+fn down_event(record: &Record) -> Event {
+    Event::TargetDown {
+        host: record.host(),
+        incarnation: record.info.incarnation,
+        service: record.info.service.clone(),
+    }
+}
