Verify peers' verdicts before ejecting a target

After a cut is healed, the verdicts of one side reach the other side and took targets away from nodes that could reach them all along. A node now ejects a target only after its own probe went unanswered; the probe also tells a living target that it was declared down.

--- a/crates/rhubarblanding_membership/src/membership/probing.rs
+++ b/crates/rhubarblanding_membership/src/membership/probing.rs
@@ -79,6 +79,10 @@
         let Some(probe) = self.probes.remove(&seq) else {
             return;
         };
+        if self.view.is_unverified(probe.target) {
+            self.eject(cx, probe.target);
+            return;
+        }
         let Some(record) = self.record(probe.target) else {
             return;
         };
@@ -111,6 +115,21 @@
         self.spread(cx, down);
     }
 
+    /// Probes a target that a peer declared down, before it is ejected here.
+    ///
+    /// A target that lives learns from the probe that it was declared down.
+    pub(super) fn verify(&mut self, cx: &mut Cx<'_>, host: HostId) {
+        if self.view.is_unverified(host) {
+            self.probe(cx, host, Purpose::Own);
+        }
+    }
+
+    fn eject(&mut self, cx: &mut Cx<'_>, host: HostId) {
+        if let Some(event) = self.view.eject(host) {
+            cx.event(event);
+        }
+    }
+
     fn suspect(&mut self, cx: &mut Cx<'_>, suspect: Record) {
         let host = suspect.host();
         let in_view = self.view.get(host).is_some();
--- a/crates/rhubarblanding_membership/src/membership/spreading.rs
+++ b/crates/rhubarblanding_membership/src/membership/spreading.rs
@@ -76,8 +76,13 @@
         for event in merge.events {
             cx.event(event);
         }
-        if merge.applied && record.verdict == Verdict::Suspect {
-            self.await_refutation(cx, record);
+        if !merge.applied {
+            return;
+        }
+        match record.verdict {
+            Verdict::Alive => {}
+            Verdict::Suspect => self.await_refutation(cx, record),
+            Verdict::Down => self.verify(cx, record.host()),
         }
     }
 
--- a/crates/rhubarblanding_membership/src/rumours.rs
+++ b/crates/rhubarblanding_membership/src/rumours.rs
@@ -73,7 +73,7 @@
                 continue;
             };
             records.push(hot.record.clone());
-            hot.rounds_left -= 1;
+            hot.rounds_left = hot.rounds_left.saturating_sub(1);
             if hot.rounds_left == 0 {
                 self.hot.remove(&host);
             }
--- a/crates/rhubarblanding_membership/src/testing/mod.rs
+++ b/crates/rhubarblanding_membership/src/testing/mod.rs
@@ -44,6 +44,13 @@
     paused: bool,
 }
 
+impl Node {
+    /// Whether the node runs and handles messages and timers.
+    pub fn is_active(&self) -> bool {
+        self.member.is_some() && !self.paused
+    }
+}
+
 /// What happens to a node next.
 #[derive(Clone, Debug)]
 pub struct Step {
--- a/crates/rhubarblanding_membership/src/view/ejection.rs
+++ b/crates/rhubarblanding_membership/src/view/ejection.rs
@@ -1,6 +1,6 @@
 //! Cap on the share of a service's targets that failure detection may take away.
 
-use rhubarblanding_core::prelude::ServiceName;
+use rhubarblanding_core::prelude::{HostId, ServiceName};
 
 use super::{Entry, Presence, View, down_event};
 use crate::io::Event;
@@ -48,27 +48,43 @@
         self.entries(service).filter(member).count()
     }
 
+    /// Whether `host` was declared down by a peer and not verified yet.
+    pub fn is_unverified(&self, host: HostId) -> bool {
+        let entry = self
+            .by_host
+            .get(&host)
+            .and_then(|key| self.targets.get(*key));
+        entry.is_some_and(|entry| entry.presence == Presence::Unverified)
+    }
+
+    /// Ejects a target that is down, or keeps it as far as the cap demands.
+    pub fn eject(&mut self, host: HostId) -> Option<Event> {
+        let key = self.by_host.get(&host).copied()?;
+        let entry = self.targets.get(key)?;
+        if entry.record.verdict != Verdict::Down || entry.presence == Presence::Gone {
+            return None;
+        }
+        let record = entry.record.clone();
+        let presence = match self.may_eject(&record.info.service) {
+            true => Presence::Gone,
+            false => Presence::Kept,
+        };
+        self.targets.get_mut(key)?.presence = presence;
+        self.forget_if_gone(key);
+        (presence == Presence::Gone).then(|| down_event(&record))
+    }
+
     /// Ejects kept targets as far as the cap allows.
     pub(super) fn eject_kept(&mut self) -> Vec<Event> {
-        let mut events = Vec::new();
         let kept = self
             .targets
-            .iter()
-            .filter(|(_, e)| e.presence == Presence::Kept);
-        let keys: Vec<_> = kept.map(|(key, _)| key).collect();
-        for key in keys {
-            let Some(record) = self.targets.get(key).map(|entry| entry.record.clone()) else {
-                continue;
-            };
-            if !self.may_eject(&record.info.service) {
-                continue;
-            }
-            if let Some(entry) = self.targets.get_mut(key) {
-                entry.presence = Presence::Gone;
-            }
-            events.push(down_event(&record));
-        }
-        events
+            .values()
+            .filter(|e| e.presence == Presence::Kept);
+        let hosts: Vec<_> = kept.map(|entry| entry.record.host()).collect();
+        hosts
+            .into_iter()
+            .filter_map(|host| self.eject(host))
+            .collect()
     }
 }
 
--- a/crates/rhubarblanding_membership/src/view/mod.rs
+++ b/crates/rhubarblanding_membership/src/view/mod.rs
@@ -25,7 +25,9 @@
 enum Presence {
     /// It may be used.
     Usable,
-    /// It was declared down, but the ejection cap keeps it usable.
+    /// A peer declared it down, and this node has not verified that yet.
+    Unverified,
+    /// It is down, but the ejection cap keeps it usable.
     Kept,
     /// It is remembered as a tombstone only.
     Gone,
@@ -233,7 +235,7 @@
         if before.record.info.service != record.info.service {
             return self.move_service(now, key, &before, record);
         }
-        let presence = self.presence_of(&before, record);
+        let presence = presence_after(&before, record);
         if let Some(entry) = self.targets.get_mut(key) {
             entry.record = record.clone();
             entry.presence = presence;
@@ -241,9 +243,7 @@
             entry.unconfirmed = false;
         }
         let events = self.change_events(key, &before);
-        if presence == Presence::Gone && !self.tombstones {
-            self.remove(key);
-        }
+        self.forget_if_gone(key);
         Merge {
             applied: true,
             events,
@@ -269,17 +269,6 @@
         merge
     }
 
-    fn presence_of(&self, before: &Entry, record: &Record) -> Presence {
-        if !record.is_final() {
-            return Presence::Usable;
-        }
-        let failed = record.verdict == Verdict::Down;
-        if failed && before.presence != Presence::Gone && !self.may_eject(&record.info.service) {
-            return Presence::Kept;
-        }
-        Presence::Gone
-    }
-
     fn change_events(&self, key: TargetKey, before: &Entry) -> Vec<Event> {
         let Some(entry) = self.targets.get(key) else {
             return Vec::new();
@@ -297,6 +286,17 @@
         event.into_iter().collect()
     }
 
+    /// Drops a tombstone if none are kept.
+    fn forget_if_gone(&mut self, key: TargetKey) {
+        let gone = self
+            .targets
+            .get(key)
+            .is_some_and(|entry| entry.presence == Presence::Gone);
+        if gone && !self.tombstones {
+            self.remove(key);
+        }
+    }
+
     fn remove(&mut self, key: TargetKey) {
         let Some(entry) = self.targets.remove(key) else {
             return;
@@ -317,6 +317,16 @@
     pub events: Vec<Event>,
 }
 
+/// A target in use that is declared down stays until this node has verified it.
+fn presence_after(before: &Entry, record: &Record) -> Presence {
+    let failed = record.verdict == Verdict::Down;
+    match record.is_final() {
+        false => Presence::Usable,
+        true if failed && before.presence != Presence::Gone => Presence::Unverified,
+        true => Presence::Gone,
+    }
+}
+
 fn down_event(record: &Record) -> Event {
     Event::TargetDown {
         host: record.host(),
--- a/crates/rhubarblanding_membership/tests/common/mod.rs
+++ b/crates/rhubarblanding_membership/tests/common/mod.rs
@@ -3,6 +3,8 @@
 #![expect(clippy::expect_used, reason = "a wrong name is a fault of the test")]
 #![allow(dead_code)]
 
+pub mod oracle;
+
 use std::time::Duration;
 
 use rhubarblanding_core::prelude::*;
