--- a/crates/rhubarblanding_core/src/error.rs
+++ b/crates/rhubarblanding_core/src/error.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+use strum::{Display, EnumCount, EnumIter, EnumString, IntoStaticStr};
 
 /// Whether a request ran at a backend server.
 #[derive(
@@ -66,8 +66,8 @@
     ($($(#[$doc:meta])* $kind:ident => $status:literal, $run:ident, $advice:ident, $counter:literal, $message:literal;)*) => {
         /// Every reason for which the system itself answers a request.
         #[derive(
-            Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumIter,
-            EnumString, IntoStaticStr,
+            Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumCount,
+            EnumIter, EnumString, IntoStaticStr,
         )]
         #[serde(rename_all = "snake_case")]
         #[strum(serialize_all = "snake_case")]
@@ -127,6 +127,8 @@
     ConnectFailed => 503, NotRun, After, "refused.connect_failed", "No connection to the target.";
     /// The connection broke after the request may have been sent.
     ConnectionLost => 502, Unknown, SameKeyAfter, "refused.connection_lost", "The connection to the target was lost.";
+    /// The call was made before and its request may cause no further retry.
+    RetryExhausted => 503, NotRun, Never, "refused.retry_exhausted", "The retry allowance of the request is used up.";
     /// The backend server refused the request without running it.
     BackendShed => 503, NotRun, After, "refused.backend_shed", "Shed by the backend server.";
     /// The key was dispatched before and its outcome is not known.
--- a/crates/rhubarblanding_core/tests/names.rs
+++ b/crates/rhubarblanding_core/tests/names.rs
@@ -23,7 +23,7 @@
     assert_that!(key.minted_at(), eq(UnixMillis(1_700_000_000_123)));
     assert_that!(
         IdempotencyKey::try_from(key.to_string().as_str()),
-        ok(eq(&key))
+        ok(eq(key))
     );
 }
 
