Add the ticket document, its checks, submission and adoption

An accepted ticket must stay in force everywhere, while answers of the store get lost and two operators submit at once. The document is one value changed by compare-and-swap; each service carries the ticket number, submission and version that set it, and a removed service keeps its number. Numbers only rise, so a refusal for a number decided on a stale read, or while an earlier write of the same submission may still be under way, holds later too; a refusal for size may not, and is therefore recorded.

Ruled out: remembering every submission (the value is bounded by 1 MB) and calling a submission refused whose record is forgotten (it may have been accepted); such a one is told as forgotten.

--- a/crates/rhubarblanding_core/src/lib.rs
+++ b/crates/rhubarblanding_core/src/lib.rs
@@ -23,7 +23,7 @@
     };
     pub use crate::importance::{AdmissionLevel, Idempotency, Importance, Priority};
     pub use crate::load::LoadReport;
-    pub use crate::names::{ServiceName, ZoneName};
+    pub use crate::names::{KindName, ServiceName, ZoneName};
     pub use crate::target::{TargetInfo, TargetState};
     pub use crate::time::{MonoTime, UnixMillis};
     pub use crate::timer::{TimerKey, TimerService};
--- a/crates/rhubarblanding_core/src/names.rs
+++ b/crates/rhubarblanding_core/src/names.rs
@@ -101,3 +101,8 @@
     /// Name of an availability zone.
     ZoneName
 }
+
+checked_name! {
+    /// Name of a kind of request within its service.
+    KindName
+}
--- /dev/null
+++ b/crates/rhubarblanding_tickets/src/operator/tickets.rs
@@ -0,0 +1,119 @@
+//! Submitting and showing tickets.
+
+use rhubarblanding_core::ids::{DocVersion, TicketNumber};
+use rhubarblanding_core::names::ServiceName;
+use serde::{Deserialize, Serialize};
+
+use crate::document::{Document, SubmissionId, Verdict};
+use crate::spec::ServiceSpec;
+use crate::ticket::{FieldError, InvalidTicket, RawTicket};
+
+/// Body of `POST /v1/tickets`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SubmitRequest {
+    /// Identifier of the submission, the same for each repeat.
+    pub submission: SubmissionId,
+    /// The ticket.
+    pub ticket: RawTicket,
+}
+
+/// Answer to `POST /v1/tickets`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubmitAnswer {
+    /// Identifier of the submission.
+    pub submission: SubmissionId,
+    /// Number of the ticket.
+    pub ticket: TicketNumber,
+    /// What is known about it.
+    #[serde(flatten)]
+    pub verdict: Verdict,
+}
+
+/// Answer to `GET /v1/tickets/{number}`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TicketAnswer {
+    /// Number of the ticket.
+    pub ticket: TicketNumber,
+    /// Version of the document that was looked at.
+    pub document_version: DocVersion,
+    /// Submission that used the number, if one is remembered.
+    pub submission: Option<SubmissionId>,
+    /// What the document tells about it.
+    #[serde(flatten)]
+    pub verdict: Verdict,
+    /// What the ticket set and no later ticket has replaced.
+    pub in_force: Vec<ServiceInForce>,
+}
+
+/// A service whose present state a ticket set.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceInForce {
+    /// Name of the service.
+    pub service: ServiceName,
+    /// Its state, `None` if the ticket removed it.
+    pub spec: Option<ServiceSpec>,
+}
+
+impl TicketAnswer {
+    /// What `document` tells about the ticket with this number.
+    pub fn new(document: &Document, number: TicketNumber) -> Self {
+        let set: Vec<_> = document
+            .entries()
+            .filter(|(_, entry)| entry.set_by.ticket == number)
+            .collect();
+        let set_by = set.first().map(|(_, entry)| entry.set_by);
+        let record = document.history().record(number);
+        let up_to = document.history().forgotten_up_to();
+        let verdict = match (record, set_by) {
+            (Some(record), _) => record.verdict.clone().into(),
+            (None, Some(set_by)) => Verdict::Accepted {
+                version: set_by.version,
+            },
+            (None, None) if number <= up_to => Verdict::Forgotten { up_to },
+            (None, None) => Verdict::NotYetKnown,
+        };
+        let in_force = set.into_iter().map(|(service, entry)| ServiceInForce {
+            service: service.clone(),
+            spec: entry.spec.clone(),
+        });
+        Self {
+            ticket: number,
+            document_version: document.version(),
+            submission: record
+                .map(|record| record.submission)
+                .or(set_by.map(|set_by| set_by.submission)),
+            verdict,
+            in_force: in_force.collect(),
+        }
+    }
+}
+
+/// Answer to a request that is malformed or cannot be served.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperatorError {
+    /// What went wrong, in one sentence.
+    pub error: String,
+    /// The faulty fields, if it was a fault of the body.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub fields: Vec<FieldError>,
+}
+
+impl OperatorError {
+    /// An error without faulty fields.
+    pub fn new(error: impl Into<String>) -> Self {
+        Self {
+            error: error.into(),
+            fields: Vec::new(),
+        }
+    }
+}
+
+impl From<InvalidTicket> for OperatorError {
+    fn from(invalid: InvalidTicket) -> Self {
+        Self {
+            error: "The ticket is not valid.".to_owned(),
+            fields: invalid.fields,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_tickets/src/ticket/error.rs
@@ -0,0 +1,102 @@
+//! Faults found in a ticket.
+
+use std::fmt;
+use std::ops::RangeInclusive;
+
+use rhubarblanding_core::names::InvalidName;
+use serde::{Deserialize, Serialize};
+
+use crate::spec::InvalidPattern;
+
+/// Reason why a field cannot be accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FieldReason {
+    /// It is not of the expected form.
+    Malformed(String),
+    /// It is not a name.
+    Name(InvalidName),
+    /// It is not a pattern.
+    Pattern(InvalidPattern),
+    /// It lies outside the range allowed.
+    Range(RangeInclusive<u64>),
+    /// It is none of the values allowed.
+    NotOneOf(&'static [&'static str]),
+    /// There are more entries than allowed.
+    TooMany(usize),
+    /// The name is used twice.
+    Duplicate,
+    /// The name is kept for requests that match no kind.
+    Reserved,
+    /// An earlier kind matches the same method and path, so this one is never reached.
+    Unreachable,
+    /// The service is both set and removed.
+    SetAndRemoved,
+    /// The ticket touches no service.
+    NothingTouched,
+}
+
+impl fmt::Display for FieldReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed(message) => f.write_str(message),
+            Self::Name(e) => e.fmt(f),
+            Self::Pattern(e) => e.fmt(f),
+            Self::Range(range) => {
+                write!(f, "must be from {} to {}", range.start(), range.end())
+            }
+            Self::NotOneOf(allowed) => write!(f, "must be one of {}", allowed.join(", ")),
+            Self::TooMany(max) => write!(f, "must have at most {max} entries"),
+            Self::Duplicate => f.write_str("is named twice"),
+            Self::Reserved => f.write_str("is kept for requests that match no kind"),
+            Self::Unreachable => {
+                f.write_str("is never reached: an earlier kind has the same method and path")
+            }
+            Self::SetAndRemoved => f.write_str("is both set and removed"),
+            Self::NothingTouched => f.write_str("must name at least one service to set or remove"),
+        }
+    }
+}
+
+/// A field that cannot be accepted, as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FieldError {
+    /// Path of the field, such as `services.turnos.kinds[0].weight`.
+    pub path: String,
+    /// What is wrong with it and what is allowed.
+    pub reason: String,
+}
+
+impl FieldError {
+    /// Creates the fault of one field.
+    pub fn new(path: impl Into<String>, reason: &FieldReason) -> Self {
+        Self {
+            path: path.into(),
+            reason: reason.to_string(),
+        }
+    }
+}
+
+impl fmt::Display for FieldError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.reason)
+    }
+}
+
+/// Every fault found in a ticket.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InvalidTicket {
+    /// The faulty fields, never empty.
+    pub fields: Vec<FieldError>,
+}
+
+impl fmt::Display for InvalidTicket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, field) in self.fields.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "; " };
+            write!(f, "{separator}{field}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for InvalidTicket {}
