Serve requests from end to end through separate processes

Cause: the decision crates had no process around them. Change: the node daemon with its caller, local, peer and operator faces on gotham routers over our own listeners, calls between nodes over HTTP/2, control by JSON-RPC on the same connections, checked settings, counters, logs and a graceful stop. Ruled out: gotham's own bind_server, which cannot stop gracefully; a JSON-RPC client of its own per peer, which would open a second connection to each peer that pings do not watch. Added latency is not measured yet.

--- a/crates/rhubarblanding_membership/src/membership/mod.rs
+++ b/crates/rhubarblanding_membership/src/membership/mod.rs
@@ -203,6 +203,11 @@
         self.view.targets(service)
     }
 
+    /// Services whose targets are kept, in order of their names.
+    pub fn services(&self) -> Vec<ServiceName> {
+        self.view.services().cloned().collect()
+    }
+
     /// Record of `host`, if the view or the sample holds it.
     pub fn record(&self, host: HostId) -> Option<&Record> {
         self.view.get(host).or_else(|| self.sample.get(host))
--- /dev/null
+++ b/crates/rhubarblanding_node/src/process/documents.rs
@@ -0,0 +1,81 @@
+//! Loops and helpers that bring newer documents to this node.
+
+use std::sync::Arc;
+
+use rand::Rng;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_membership::prelude::{Document as SpreadDocument, Input};
+use rhubarblanding_store::prelude::WatchSettings;
+use rhubarblanding_tickets::prelude::{Document, DocumentWatch};
+use tokio::sync::watch;
+
+use super::counters::Event;
+use super::shared::Shared;
+use crate::control::method;
+
+/// Watches the document in the platform's service while the membership asks for it; runs for as
+/// long as the process.
+pub async fn watch_store(node: Arc<Shared>, mut watching: watch::Receiver<bool>) {
+    loop {
+        if watching.wait_for(|watching| *watching).await.is_err() {
+            return;
+        }
+        log::info!("watching the document in the platform's service");
+        let seed = rand::rng().random();
+        let mut store = DocumentWatch::new(node.store.clone(), WatchSettings::default(), seed);
+        loop {
+            tokio::select! {
+                document = store.next() => adopt(&node, document),
+                _ = watching.wait_for(|watching| !*watching) => break,
+            }
+        }
+    }
+}
+
+/// Reads the document once at the start, so that a node need not wait for its peers.
+pub async fn read_store(node: Arc<Shared>) {
+    let client = rhubarblanding_tickets::prelude::DocumentClient::new(node.store.clone());
+    match client.read().await {
+        Ok(stored) => adopt(&node, stored.document),
+        Err(_) => node.count(Event::StoreError),
+    }
+}
+
+/// Adopts a document if it is newer, and spreads it.
+pub fn adopt(node: &Arc<Shared>, document: Document) {
+    let version = document.version();
+    let Ok(body) = String::from_utf8(document.to_bytes()) else {
+        return;
+    };
+    if node.document.offer(document) {
+        node.count(Event::DocumentAdopted);
+        log::info!("document version {} is in force", version.0);
+        node.member_input(Input::Document(SpreadDocument::whole(version, body)));
+    }
+}
+
+/// Adopts a document that came from a peer.
+pub fn received(node: &Arc<Shared>, spread: &SpreadDocument) {
+    let body = spread.parts.first().and_then(|part| part.body.as_ref());
+    let Some(body) = body else {
+        return;
+    };
+    match Document::from_bytes(body.as_bytes()) {
+        Ok(document) => adopt(node, document),
+        Err(e) => log::warn!("document version {} not adopted: {e}", spread.version.0),
+    }
+}
+
+/// Fetches the document of a peer that has a newer one.
+pub fn fetch(node: Arc<Shared>, from: HostId) {
+    if !node.begin_fetch() {
+        return;
+    }
+    tokio::spawn(async move {
+        let fetched: Result<Document, _> = node.control.call(from, method::DOCUMENT, [(); 0]).await;
+        node.end_fetch();
+        if let Ok(document) = fetched {
+            adopt(&node, document);
+        }
+    });
+}
--- /dev/null
+++ b/crates/rhubarblanding_node/src/process/mod.rs
@@ -0,0 +1,19 @@
+//! What lives for a process: shared state, clocks, counters, logs, and starting and stopping.
+
+mod clock;
+mod counters;
+mod documents;
+mod homes;
+pub mod logs;
+mod member;
+mod node;
+pub mod parking;
+mod phase;
+mod shared;
+
+pub use clock::Clock;
+pub use counters::{Counters, Event, Reporter};
+pub use documents::adopt as adopt_document;
+pub use node::{Node, NodeHandle, StartError};
+pub use phase::{Draining, Lifecycle, PhaseReader, Serving, Starting};
+pub use shared::Shared;
--- /dev/null
+++ b/crates/rhubarblanding_node/src/request/keyed.rs
@@ -0,0 +1,130 @@
+//! Sends a keyed non-idempotent call to the key's home, or to its copy if the home fails.
+
+use http::Response;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_once::prelude::*;
+use rhubarblanding_once::route::AskFailure;
+use rhubarblanding_request::prelude::*;
+use rhubarblanding_routing::prelude::*;
+
+use super::dispatch::{AttemptError, Dispatch, PeerAnswer};
+use crate::connection::{Body, SendError};
+use crate::control;
+
+/// Number of tables that one call follows while homes move.
+const TABLES_MAX: usize = 3;
+
+/// Progress of one keyed call.
+struct KeyedCall<'a> {
+    dispatch: &'a Dispatch<'a>,
+    key: IdempotencyKey,
+    number: u8,
+}
+
+/// Sends the call until its outcome is known or it is given up.
+///
+/// # Errors
+///
+/// The refusal for the caller.
+pub async fn run(dispatch: &Dispatch<'_>, key: IdempotencyKey) -> Result<Response<Body>, Refusal> {
+    let mut call = KeyedCall {
+        dispatch,
+        key,
+        number: 0,
+    };
+    let mut refusal = Refusal::new(ErrorKind::HomeUnavailable);
+    for _ in 0..TABLES_MAX {
+        let version = call.known_table().await;
+        match call.follow_table().await {
+            Ok(resp) => return Ok(resp),
+            Err(failed) => refusal = failed,
+        }
+        let moved = refusal.kind == ErrorKind::HomeMoved;
+        if !moved || !call.refresh_table(version).await {
+            break;
+        }
+        if dispatch.spend(RetryReason::HomeMoved).is_err() {
+            break;
+        }
+    }
+    Err(refusal)
+}
+
+impl KeyedCall<'_> {
+    /// Version of the known table, which is fetched from a target if none is known.
+    async fn known_table(&self) -> Option<TableVersion> {
+        let service = &self.dispatch.service;
+        if service.table().is_none() {
+            control::fetch_table(self.dispatch.node, service).await;
+        }
+        service.table().map(|table| table.version())
+    }
+
+    /// Fetches the table and tells whether it is newer than `known`.
+    async fn refresh_table(&self, known: Option<TableVersion>) -> bool {
+        let service = &self.dispatch.service;
+        control::fetch_table(self.dispatch.node, service).await;
+        service.table().map(|table| table.version()) > known
+    }
+
+    /// Asks the home and then the copy of the table in force.
+    async fn follow_table(&mut self) -> Result<Response<Body>, Refusal> {
+        let table = self.dispatch.service.table();
+        let (mut route, mut step) = Route::start(table.as_deref(), self.key)?;
+        loop {
+            let (to, role) = match step {
+                RouteStep::Ask { to, role } => (to, role),
+                RouteStep::Refuse(refusal) => return Err(refusal),
+            };
+            let failure = match self.ask(to, role).await {
+                Ok(resp) => return Ok(resp),
+                Err(failure) => failure,
+            };
+            step = route.on_failure(failure);
+            let again = matches!(step, RouteStep::Ask { .. });
+            if again && self.dispatch.spend(reason(failure)).is_err() {
+                step = give_up(&mut route, failure);
+            }
+        }
+    }
+
+    async fn ask(&mut self, to: MemberId, role: Role) -> Result<Response<Body>, AskFailure> {
+        self.number = self.number.saturating_add(1);
+        let id = TargetId {
+            host: to.host,
+            incarnation: to.incarnation,
+        };
+        match self.dispatch.attempt(self.number, id, role).await {
+            Ok(PeerAnswer::Answer(resp)) => Ok(resp),
+            // A leaving home has not begun to run the key, so that its copy may take it.
+            Ok(PeerAnswer::Refused(refusal)) if is_leaving(refusal.kind) => {
+                Err(AskFailure::NotSent)
+            }
+            Ok(PeerAnswer::Refused(refusal)) => Err(AskFailure::Refused(refusal)),
+            Err(AttemptError::Send(SendError::Connect)) => Err(AskFailure::NotSent),
+            Err(AttemptError::Send(SendError::Lost) | AttemptError::Deadline) => {
+                Err(AskFailure::NoAnswer)
+            }
+        }
+    }
+}
+
+fn is_leaving(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::TargetDraining | ErrorKind::NodeDraining)
+}
+
+fn reason(failure: AskFailure) -> RetryReason {
+    match failure {
+        AskFailure::NotSent => RetryReason::ConnectFailed,
+        AskFailure::NoAnswer => RetryReason::ConnectionLost,
+        AskFailure::Refused(_) => RetryReason::HomeMoved,
+    }
+}
+
+/// Ends a route whose next member cannot be asked because no retry is left.
+fn give_up(route: &mut Route, failure: AskFailure) -> RouteStep {
+    match route.on_failure(failure) {
+        RouteStep::Refuse(refusal) => RouteStep::Refuse(refusal),
+        RouteStep::Ask { .. } => RouteStep::Refuse(Refusal::new(ErrorKind::OutcomeUnknown)),
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_node/src/request/once.rs
@@ -0,0 +1,233 @@
+//! The at-most-once ledger of this node together with the callers that wait for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_once::message::RunId;
+use rhubarblanding_once::prelude::*;
+use rhubarblanding_once::table::AdoptionReply;
+use tokio::sync::{Notify, mpsc};
+
+use crate::process::Clock;
+use crate::process::parking::{Mutex, lock};
+
+/// Longest sleep of the loop that ticks the ledger.
+const TICK_MAX: Duration = Duration::from_secs(1);
+
+/// What a waiting caller is told.
+#[derive(Clone, Debug)]
+pub enum Verdict {
+    /// Send the request to the backend server, once, and report the outcome.
+    Run(RunId),
+    /// Answer with this recorded answer.
+    Answer(Arc<RecordedAnswer>),
+    /// Refuse.
+    Refuse(Refusal),
+}
+
+/// Message for another member that the owner of the driver has to send.
+pub type Outgoing = mpsc::UnboundedSender<Envelope>;
+
+#[derive(Debug)]
+struct State {
+    ledger: Ledger,
+    waiting: HashMap<CallerId, mpsc::UnboundedSender<Verdict>>,
+    next_caller: u64,
+}
+
+/// Runs the ledger of this node.
+#[derive(Debug)]
+pub struct OnceDriver {
+    clock: Clock,
+    state: Mutex<State>,
+    outgoing: Outgoing,
+    changed: Notify,
+    max_answer_bytes: usize,
+}
+
+impl OnceDriver {
+    /// Creates the driver of an empty ledger.
+    pub fn new(clock: Clock, me: Member, settings: LedgerSettings, outgoing: Outgoing) -> Self {
+        let state = State {
+            ledger: Ledger::new(me, settings),
+            waiting: HashMap::default(),
+            next_caller: 0,
+        };
+        Self {
+            clock,
+            state: Mutex::new(state),
+            outgoing,
+            changed: Notify::new(),
+            max_answer_bytes: settings.max_answer_bytes,
+        }
+    }
+
+    /// Current time for the ledger.
+    pub fn now(&self) -> Now {
+        Now {
+            mono: self.clock.now(),
+            wall: self.clock.wall(),
+        }
+    }
+
+    /// This node as a member of its service's home table.
+    pub fn member(&self) -> Member {
+        lock(&self.state).ledger.member().clone()
+    }
+
+    /// The home table in force.
+    pub fn table(&self) -> Option<HomeTable> {
+        lock(&self.state).ledger.table().cloned()
+    }
+
+    /// Version of the home table in force.
+    pub fn table_version(&self) -> Option<TableVersion> {
+        lock(&self.state).ledger.table().map(HomeTable::version)
+    }
+
+    /// Greatest size in bytes of an answer that is kept.
+    pub fn max_answer_bytes(&self) -> usize {
+        self.max_answer_bytes
+    }
+
+    /// Puts a newer table in force.
+    pub fn adopt(&self, table: HomeTable) -> AdoptionReply {
+        let now = self.now();
+        lock(&self.state).ledger.adopt(now, table)
+    }
+
+    /// Begins an attempt; its verdicts come through the returned waiter.
+    pub fn attempt(
+        self: &Arc<Self>,
+        key: IdempotencyKey,
+        fingerprint: Fingerprint,
+        role: Role,
+    ) -> Waiter {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let mut state = lock(&self.state);
+        let caller = CallerId(state.next_caller);
+        state.next_caller += 1;
+        state.waiting.insert(caller, tx);
+        let attempt = AttemptRequest {
+            caller,
+            key,
+            fingerprint,
+            role,
+        };
+        self.feed(&mut state, Input::Attempt(attempt));
+        drop(state);
+        self.changed.notify_one();
+        Waiter {
+            driver: Arc::clone(self),
+            caller,
+            key,
+            rx,
+        }
+    }
+
+    /// Reports how a dispatched request ended.
+    pub fn outcome(&self, key: IdempotencyKey, run: RunId, outcome: Outcome) {
+        self.input(Input::Outcome { key, run, outcome });
+    }
+
+    /// Takes a message of another member.
+    pub fn receive(&self, envelope: Envelope) {
+        self.input(Input::Peer(envelope));
+    }
+
+    /// Ticks the ledger whenever it is due; runs for as long as the process.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            let due = lock(&self.state).ledger.next_due();
+            let now = self.clock.now();
+            let sleep = due.map_or(TICK_MAX, |due| now.until(due)).min(TICK_MAX);
+            tokio::select! {
+                () = tokio::time::sleep(sleep) => self.input(Input::Tick),
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    fn input(&self, input: Input) {
+        self.feed(&mut lock(&self.state), input);
+        self.changed.notify_one();
+    }
+
+    fn feed(&self, state: &mut State, input: Input) {
+        let from = state.ledger.member().id;
+        for output in state.ledger.handle(self.now(), input) {
+            match output {
+                Output::Dispatch { key, run, caller } => {
+                    let sent = state.tell(caller, Verdict::Run(run));
+                    if !sent {
+                        // Nobody is left to send the request, so it does not run.
+                        let outcome = Outcome::Shed;
+                        self.feed(state, Input::Outcome { key, run, outcome });
+                    }
+                }
+                Output::Answer { caller, answer } => {
+                    state.tell(caller, Verdict::Answer(answer));
+                    state.waiting.remove(&caller);
+                }
+                Output::Refuse { caller, refusal } => {
+                    state.tell(caller, Verdict::Refuse(refusal));
+                    state.waiting.remove(&caller);
+                }
+                Output::Send { to, msg } => {
+                    // The receiver lives as long as the process.
+                    let _ = self.outgoing.send(Envelope { from, to, msg });
+                }
+                // Backend servers have no way to be asked for the outcome of a request.
+                Output::AskOutcome { .. } => {}
+            }
+        }
+    }
+}
+
+impl State {
+    fn tell(&self, caller: CallerId, verdict: Verdict) -> bool {
+        let tx = self.waiting.get(&caller);
+        tx.is_some_and(|tx| tx.send(verdict).is_ok())
+    }
+}
+
+/// One caller that waits for verdicts; dropping it reports that the caller is gone.
+#[derive(Debug)]
+pub struct Waiter {
+    driver: Arc<OnceDriver>,
+    caller: CallerId,
+    key: IdempotencyKey,
+    rx: mpsc::UnboundedReceiver<Verdict>,
+}
+
+impl Waiter {
+    /// The next verdict.
+    pub async fn next(&mut self) -> Verdict {
+        let internal = Verdict::Refuse(Refusal::new(ErrorKind::Internal));
+        self.rx.recv().await.unwrap_or(internal)
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        let mut state = lock(&self.driver.state);
+        if state.waiting.remove(&self.caller).is_none() {
+            return;
+        }
+        let gone = Input::CallerGone {
+            caller: self.caller,
+            key: self.key,
+        };
+        self.driver.feed(&mut state, gone);
+        // A permission to run that nobody used is given back.
+        while let Ok(verdict) = self.rx.try_recv() {
+            if let Verdict::Run(run) = verdict {
+                let key = self.key;
+                let outcome = Outcome::Shed;
+                self.driver
+                    .feed(&mut state, Input::Outcome { key, run, outcome });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_node/src/request/registry.rs
@@ -0,0 +1,167 @@
+//! Running requests of a node: their allowance and the time that they spend in downstream calls.
+
+use std::time::Duration;
+
+use parking::{Mutex, lock};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_request::prelude::*;
+
+use crate::process::parking;
+
+/// Number of shards, each under its own lock.
+const SHARDS: usize = 8;
+/// Hexadecimal digits that name the shard in front of a token.
+const SHARD_DIGITS: usize = 2;
+
+/// Names one running request of this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RequestRef {
+    shard: u8,
+    key: RequestKey,
+}
+
+/// Time during which at least one downstream call of a request is running.
+#[derive(Clone, Copy, Debug, Default)]
+struct DownstreamTime {
+    running: u32,
+    since: MonoTime,
+    total: Duration,
+}
+
+#[derive(Debug)]
+struct Shard {
+    ledger: AllowanceLedger,
+    downstream: HashMap<RequestKey, DownstreamTime>,
+    rng: SmallRng,
+}
+
+/// All running requests, spread over shards.
+#[derive(Debug)]
+pub struct Registry {
+    shards: Vec<Mutex<Shard>>,
+}
+
+impl Default for Registry {
+    fn default() -> Self {
+        let shard = || Shard {
+            ledger: AllowanceLedger::new(AllowanceSettings::default()),
+            downstream: HashMap::default(),
+            rng: SmallRng::from_os_rng(),
+        };
+        Self {
+            shards: (0..SHARDS).map(|_| Mutex::new(shard())).collect(),
+        }
+    }
+}
+
+impl Registry {
+    /// Opens a request that may cause `allowance` retries.
+    pub fn open(&self, cx: RequestContext, allowance: u8) -> RequestRef {
+        let shard = (cx.root.0 % SHARDS as u64) as u8;
+        let mut guard = lock(&self.shards[usize::from(shard)]);
+        let Shard { ledger, rng, .. } = &mut *guard;
+        let key = ledger.open(rng, cx, allowance);
+        RequestRef { shard, key }
+    }
+
+    /// Closes a request and returns the retries that are left.
+    pub fn close(&self, now: MonoTime, req: RequestRef) -> u8 {
+        let mut shard = self.shard(req);
+        shard.downstream.remove(&req.key);
+        shard.ledger.close(now, req.key)
+    }
+
+    /// Text that names the request towards its backend server.
+    pub fn token(&self, req: RequestRef) -> Option<String> {
+        let token = self.shard(req).ledger.token(req.key)?;
+        Some(format!("{:02x}{token}", req.shard))
+    }
+
+    /// The open request that a backend server's token names.
+    pub fn find(&self, text: &str) -> Option<(RequestRef, RequestContext)> {
+        let (shard, token) = text.split_at_checked(SHARD_DIGITS)?;
+        let shard = u8::from_str_radix(shard, 16).ok()?;
+        let token = Token::try_from(token).ok()?;
+        let guard = lock(self.shards.get(usize::from(shard))?);
+        let key = guard.ledger.find(token)?;
+        let cx = *guard.ledger.context(key)?;
+        Some((RequestRef { shard, key }, cx))
+    }
+
+    /// Records that the backend server starts a downstream call.
+    pub fn begin_call(&self, req: RequestRef, call: CallDigest) -> CallStart {
+        self.shard(req).ledger.begin_call(req.key, call)
+    }
+
+    /// Lends part of the allowance to an attempt.
+    pub fn lend(&self, req: RequestRef) -> Lent {
+        self.shard(req).ledger.lend(req.key)
+    }
+
+    /// Takes one retry from the allowance.
+    ///
+    /// # Errors
+    ///
+    /// [`Exhausted`] if none is left.
+    pub fn spend(&self, req: RequestRef, reason: RetryReason) -> Result<(), Exhausted> {
+        self.shard(req).ledger.spend(req.key, reason)
+    }
+
+    /// Retries that are left to the request.
+    pub fn left(&self, req: RequestRef) -> u8 {
+        self.shard(req).ledger.left(req.key)
+    }
+
+    /// Settles an answered attempt.
+    pub fn settle_answered(&self, req: RequestRef, attempt: Attempt<Answered>) {
+        attempt.settle(&mut self.shard(req).ledger);
+    }
+
+    /// Settles an attempt of which nothing was sent.
+    pub fn abandon(&self, req: RequestRef, attempt: Attempt<Planned>) {
+        attempt.abandon(&mut self.shard(req).ledger);
+    }
+
+    /// Records that a downstream call of the request begins to run.
+    pub fn downstream_started(&self, now: MonoTime, req: RequestRef) {
+        let mut shard = self.shard(req);
+        if !shard.ledger.is_open(req.key) {
+            return;
+        }
+        let time = shard.downstream.entry(req.key).or_default();
+        if time.running == 0 {
+            time.since = now;
+        }
+        time.running += 1;
+    }
+
+    /// Records that a downstream call of the request has its answer or was dropped.
+    pub fn downstream_ended(&self, now: MonoTime, req: RequestRef) {
+        let mut shard = self.shard(req);
+        let Some(time) = shard.downstream.get_mut(&req.key) else {
+            return;
+        };
+        time.running = time.running.saturating_sub(1);
+        if time.running == 0 {
+            time.total += now.since(time.since);
+        }
+    }
+
+    /// Time that the request spent in downstream calls so far.
+    pub fn downstream_time(&self, now: MonoTime, req: RequestRef) -> Duration {
+        let shard = self.shard(req);
+        let Some(time) = shard.downstream.get(&req.key) else {
+            return Duration::ZERO;
+        };
+        match time.running {
+            0 => time.total,
+            _ => time.total + now.since(time.since),
+        }
+    }
+
+    fn shard(&self, req: RequestRef) -> std::sync::MutexGuard<'_, Shard> {
+        lock(&self.shards[usize::from(req.shard)])
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_node/src/request/serve.rs
@@ -0,0 +1,300 @@
+//! The face for other nodes: a call reaches the node of its target.
+
+use std::sync::Arc;
+
+use http::{HeaderMap, Request, Response};
+use hyper::body::Incoming;
+use rhubarblanding_admission::prelude::KindId;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_once::message::RunId;
+use rhubarblanding_once::prelude::*;
+use tokio::sync::oneshot;
+
+use super::backend::{self, BackendAnswer, BackendError, BackendRequest};
+use super::entry::{Rejected, body_limit};
+use super::once::{Verdict, Waiter};
+use super::recorded;
+use super::{Hop, RequestRef, answer, body, headers, load_header};
+use crate::connection::Body;
+use crate::process::{Event, Shared};
+use crate::version::kind_id;
+
+/// Greatest size in bytes of a request body whose kind is not known here.
+const UNKNOWN_BODY_MAX_BYTES: usize = 16 << 20;
+
+/// Answers a call of another node.
+pub async fn serve_peer(node: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+    node.counters.event(Event::PeerCall);
+    let mut resp = match accept(&node, req).await {
+        Ok(resp) => resp,
+        Err(rejected) => {
+            node.counters.refusal(rejected.refusal.kind);
+            answer::refusal(rejected.refusal, rejected.detail.as_deref())
+        }
+    };
+    let out = resp.headers_mut();
+    let report = node.load_report();
+    out.insert(headers::LOAD, headers::value(load_header::write(&report)));
+    let document = node.document.version();
+    out.insert(headers::DOCUMENT, headers::value(document.0));
+    if let Some(version) = node.once.table_version() {
+        out.insert(headers::TABLE, headers::value(version.0));
+    }
+    resp
+}
+
+/// A call as the target's node holds it.
+struct Served {
+    hop: Hop,
+    key: Option<IdempotencyKey>,
+    backend: BackendRequest,
+}
+
+async fn accept(node: &Arc<Shared>, req: Request<Incoming>) -> Result<Response<Body>, Rejected> {
+    let served = read(node, req).await?;
+    if !node.takes_work() {
+        return Err(Refusal::new(ErrorKind::TargetDraining).into());
+    }
+    node.note_document(served.hop.from, served.hop.document);
+    let cx = served.hop.cx;
+    let running = node.registry.open(cx, served.hop.allowance);
+    let mut guard = OpenServed {
+        node: Arc::clone(node),
+        req: running,
+        open: true,
+    };
+    let answer = match served.key {
+        Some(key) => run_keyed(node, served, key, running).await,
+        None => run_unkeyed(node, &served.backend, running).await,
+    };
+    let left = guard.close();
+    let mut resp = answer.unwrap_or_else(|refusal| {
+        node.counters.refusal(refusal.kind);
+        answer::refusal(refusal, None)
+    });
+    let left = headers::value(left);
+    resp.headers_mut().insert(headers::ALLOWANCE_LEFT, left);
+    Ok(resp)
+}
+
+async fn read(node: &Arc<Shared>, req: Request<Incoming>) -> Result<Served, Rejected> {
+    let reject = |detail: &str| Rejected::new(ErrorKind::InvalidRequest, detail);
+    let now = node.clock.now();
+    let (parts, inner) = req.into_parts();
+    let hop = Hop::read(now, &parts.headers).map_err(reject)?;
+    let service: Option<String> = headers::parse(&parts.headers, &headers::SERVICE);
+    if service.as_deref() != Some(node.settings.service.as_str()) {
+        return Err(Rejected::new(
+            ErrorKind::NoTarget,
+            "rhubarblanding-service: this host serves another service",
+        ));
+    }
+    let path = parts
+        .uri
+        .path_and_query()
+        .cloned()
+        .ok_or_else(|| reject("path: must be given"))?;
+    let key = read_key(&parts.headers, hop.cx.idempotency)?;
+    let (kind, limit) = classify(node, parts.method.as_str(), path.path());
+    let body = body::read_whole(inner, limit)
+        .await
+        .map_err(|_| reject("body: is too large or ended before its length"))?;
+    let mut map = parts.headers;
+    headers::strip_hop_by_hop(&mut map);
+    headers::strip_system(&mut map);
+    Ok(Served {
+        hop,
+        key,
+        backend: BackendRequest {
+            method: parts.method,
+            path,
+            headers: map,
+            body,
+            cx: hop.cx,
+            kind,
+        },
+    })
+}
+
+/// Number of the request's kind and the greatest size of its body in bytes.
+fn classify(node: &Shared, method: &str, path: &str) -> (KindId, usize) {
+    let document = node.document.get();
+    match document.service(&node.settings.service) {
+        Some(spec) => {
+            let kind = spec.classify(method, path);
+            (kind_id(spec, kind), body_limit(kind))
+        }
+        // The sender's document is newer; its entry node has checked the size.
+        None => (KindId(KindId::MAX), UNKNOWN_BODY_MAX_BYTES),
+    }
+}
+
+fn read_key(map: &HeaderMap, idempotency: Idempotency) -> Result<Option<IdempotencyKey>, Rejected> {
+    let Some(raw) = map.get(headers::IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    if idempotency == Idempotency::Idempotent {
+        return Ok(None);
+    }
+    IdempotencyKey::try_from(raw.to_str().unwrap_or_default())
+        .map(Some)
+        .map_err(|e| Rejected::new(ErrorKind::InvalidKey, e.to_string()))
+}
+
+async fn run_unkeyed(
+    node: &Arc<Shared>,
+    req: &BackendRequest,
+    running: RequestRef,
+) -> Result<Response<Body>, Refusal> {
+    let answer = backend::send(node, req, running)
+        .await
+        .map_err(BackendError::refusal)?;
+    Ok(stream(answer))
+}
+
+/// Passes the backend server's answer on as it comes.
+fn stream(answer: BackendAnswer) -> Response<Body> {
+    let (mut parts, inner) = answer.resp.into_parts();
+    headers::strip_hop_by_hop(&mut parts.headers);
+    headers::strip_system(&mut parts.headers);
+    Response::from_parts(parts, body::guarded(inner, answer.running))
+}
+
+/// Runs a keyed request in a task of its own, so that its outcome is recorded although its caller
+/// may go away.
+async fn run_keyed(
+    node: &Arc<Shared>,
+    served: Served,
+    key: IdempotencyKey,
+    running: RequestRef,
+) -> Result<Response<Body>, Refusal> {
+    let fingerprint = fingerprint(&served.backend);
+    let waiter = node.once.attempt(key, fingerprint, served.hop.role);
+    let (_caller, gone) = oneshot::channel::<()>();
+    let run = KeyedRun {
+        node: Arc::clone(node),
+        req: served.backend,
+        key,
+        running,
+        refused: None,
+        sent: false,
+    };
+    let task = tokio::spawn(run.follow(waiter, gone));
+    match task.await {
+        Ok(answer) => answer,
+        Err(_) => Err(Refusal::new(ErrorKind::Internal)),
+    }
+}
+
+fn fingerprint(req: &BackendRequest) -> Fingerprint {
+    Fingerprint::of(&[
+        req.method.as_str().as_bytes(),
+        req.path.as_str().as_bytes(),
+        &req.body,
+    ])
+}
+
+/// One keyed request at the member that was asked for it.
+struct KeyedRun {
+    node: Arc<Shared>,
+    req: BackendRequest,
+    key: IdempotencyKey,
+    running: RequestRef,
+    /// Refusal that tells more than the ledger's own.
+    refused: Option<Refusal>,
+    /// Whether this request itself was sent to the backend server.
+    sent: bool,
+}
+
+impl KeyedRun {
+    async fn follow(
+        mut self,
+        mut waiter: Waiter,
+        mut gone: oneshot::Receiver<()>,
+    ) -> Result<Response<Body>, Refusal> {
+        let deadline = self.node.clock.instant(self.req.cx.deadline);
+        loop {
+            let verdict = tokio::select! {
+                verdict = waiter.next() => verdict,
+                // The sender is dropped together with the caller's request.
+                _ = &mut gone => return Err(Refusal::new(ErrorKind::OutcomeUnknown)),
+                () = tokio::time::sleep_until(deadline) => {
+                    return Err(Refusal::new(ErrorKind::DeadlineExceeded));
+                }
+            };
+            match verdict {
+                Verdict::Run(run) => {
+                    if let Some(resp) = self.run(run).await {
+                        return Ok(resp);
+                    }
+                }
+                Verdict::Answer(answer) => {
+                    if !self.sent {
+                        self.node.counters.event(Event::RecordedAnswer);
+                    }
+                    return Ok(recorded::to_response(&answer));
+                }
+                Verdict::Refuse(refusal) => return Err(self.refused.unwrap_or(refusal)),
+            }
+        }
+    }
+
+    /// Sends the request and reports its outcome; an answer too large to be kept is returned.
+    async fn run(&mut self, run: RunId) -> Option<Response<Body>> {
+        self.sent = true;
+        let answer = match backend::send(&self.node, &self.req, self.running).await {
+            Ok(answer) => answer,
+            Err(BackendError::NotRun(refusal)) => {
+                self.refused = Some(refusal);
+                self.report(run, Outcome::Shed);
+                return None;
+            }
+            Err(BackendError::Unknown(_)) => {
+                self.report(run, Outcome::Lost);
+                return None;
+            }
+        };
+        let limit = self.node.once.max_answer_bytes();
+        match recorded::read(answer, limit).await {
+            recorded::Read::Whole(answer) => {
+                self.report(run, Outcome::Answered(answer));
+                None
+            }
+            recorded::Read::TooLarge(resp) => {
+                self.report(run, Outcome::Streamed);
+                Some(*resp)
+            }
+            recorded::Read::Cut => {
+                self.report(run, Outcome::Lost);
+                None
+            }
+        }
+    }
+
+    fn report(&self, run: RunId, outcome: Outcome) {
+        self.node.once.outcome(self.key, run, outcome);
+    }
+}
+
+/// A served call in the registry; it is closed on drop.
+struct OpenServed {
+    node: Arc<Shared>,
+    req: RequestRef,
+    open: bool,
+}
+
+impl OpenServed {
+    fn close(&mut self) -> u8 {
+        self.open = false;
+        self.node.registry.close(self.node.clock.now(), self.req)
+    }
+}
+
+impl Drop for OpenServed {
+    fn drop(&mut self) {
+        if self.open {
+            self.close();
+            self.node.counters.event(Event::Cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_node/src/version/services.rs
@@ -0,0 +1,207 @@
+//! Per-service state of a node: targets, entry admission, retry budget and home table.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rhubarblanding_admission::prelude::*;
+use rhubarblanding_core::collections::stable_hash;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_once::prelude::HomeTable;
+use rhubarblanding_request::prelude::*;
+use rhubarblanding_routing::prelude::*;
+use tokio::sync::Notify;
+
+use crate::process::parking::{Mutex, lock};
+
+/// Number of shards of the map from service to state.
+const SHARDS: usize = 16;
+
+/// Routing, admission and budget of one service, guarded together.
+#[derive(Debug)]
+struct Inner {
+    router: Router,
+    entry: EntryGate,
+    budget: RetryBudget,
+    rng: SmallRng,
+    looked_up: Option<MonoTime>,
+}
+
+/// What a node knows of one service that it sends requests to.
+#[derive(Debug)]
+pub struct ServiceState {
+    name: ServiceName,
+    inner: Mutex<Inner>,
+    table: Mutex<Option<Arc<HomeTable>>>,
+    changed: Notify,
+    refreshing: AtomicBool,
+}
+
+impl ServiceState {
+    fn new(now: MonoTime, name: ServiceName) -> Self {
+        let inner = Inner {
+            router: Router::new(RouterSettings::default()),
+            entry: EntryGate::new(EntrySettings::default()),
+            budget: RetryBudget::new(now, BudgetSettings::default()),
+            rng: SmallRng::from_os_rng(),
+            looked_up: None,
+        };
+        Self {
+            name,
+            inner: Mutex::new(inner),
+            table: Mutex::new(None),
+            changed: Notify::new(),
+            refreshing: AtomicBool::new(false),
+        }
+    }
+
+    /// Name of the service.
+    pub fn name(&self) -> &ServiceName {
+        &self.name
+    }
+
+    /// Takes over a target that appeared or changed.
+    pub fn upsert(&self, now: MonoTime, info: TargetInfo) {
+        lock(&self.inner).router.upsert(now, info);
+        self.changed.notify_waiters();
+    }
+
+    /// Begins to fetch the home table; false if that is under way.
+    pub fn begin_refresh(&self) -> bool {
+        !self.refreshing.swap(true, Ordering::AcqRel)
+    }
+
+    /// The home table was fetched, or could not be.
+    pub fn end_refresh(&self) {
+        self.refreshing.store(false, Ordering::Release);
+    }
+
+    /// Drops a target whose life on `host` has ended.
+    pub fn remove(&self, host: HostId) {
+        let mut inner = lock(&self.inner);
+        inner.router.remove(host);
+        inner.entry.forget(host);
+    }
+
+    /// Completes when a target appears or changes, if it does so after this call.
+    pub fn changed(&self) -> impl Future<Output = ()> {
+        self.changed.notified()
+    }
+
+    /// Chooses a target that is not among `tried`.
+    pub fn pick(&self, now: MonoTime, zone: &ZoneName, tried: &[HostId]) -> Option<TargetId> {
+        let Inner { router, rng, .. } = &mut *lock(&self.inner);
+        let req = PickRequest {
+            zone: Some(zone),
+            exclude: tried,
+        };
+        router.pick(now, rng, req)
+    }
+
+    /// Whether a lookup is due; at most one of several callers is told so within `interval`.
+    pub fn lookup_due(&self, now: MonoTime, interval: std::time::Duration) -> bool {
+        let mut inner = lock(&self.inner);
+        let due = inner.looked_up.is_none_or(|at| now.since(at) >= interval);
+        if due {
+            inner.looked_up = Some(now);
+        }
+        due
+    }
+
+    /// Decides whether a request may enter towards this service.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of the entry gate.
+    pub fn check_entry(&self, now: MonoTime, priority: Priority) -> Result<(), Refusal> {
+        let Inner { entry, rng, .. } = &mut *lock(&self.inner);
+        entry.check(now, rng, priority)
+    }
+
+    /// Records the start of an attempt at a target.
+    pub fn started(&self, now: MonoTime, id: TargetId, first: bool) {
+        let mut inner = lock(&self.inner);
+        inner.router.started(now, id);
+        if first {
+            inner.budget.first_attempt(now);
+        }
+    }
+
+    /// Records the end of an attempt at a target.
+    pub fn finished(&self, now: MonoTime, id: TargetId, outcome: TargetOutcome) {
+        lock(&self.inner).router.finished(now, id, outcome);
+    }
+
+    /// Records the load that an answer of a target carried.
+    pub fn observe(&self, now: MonoTime, id: TargetId, report: LoadReport) {
+        let mut inner = lock(&self.inner);
+        inner.router.observe(now, id, report);
+        inner.entry.observe(now, id.host, report);
+    }
+
+    /// Records a failed attempt and returns what the retry budget says.
+    pub fn failed(&self, now: MonoTime, kind: ErrorKind) -> BudgetState {
+        let mut inner = lock(&self.inner);
+        inner.budget.observe(now, kind);
+        inner.budget.state(now)
+    }
+
+    /// Takes one retry from the budget.
+    pub fn take_retry(&self, now: MonoTime) -> BudgetState {
+        lock(&self.inner).budget.take(now)
+    }
+
+    /// The home table that is known.
+    pub fn table(&self) -> Option<Arc<HomeTable>> {
+        lock(&self.table).clone()
+    }
+
+    /// Takes over a newer home table; an older one is ignored.
+    pub fn adopt_table(&self, table: HomeTable) -> bool {
+        let mut current = lock(&self.table);
+        let newer = current
+            .as_ref()
+            .is_none_or(|known| known.version() < table.version());
+        if newer {
+            *current = Some(Arc::new(table));
+        }
+        newer
+    }
+}
+
+/// All services that a node sends requests to.
+#[derive(Debug)]
+pub struct Services {
+    shards: Vec<Mutex<HashMap<ServiceName, Arc<ServiceState>>>>,
+}
+
+impl Default for Services {
+    fn default() -> Self {
+        let shards = (0..SHARDS).map(|_| Mutex::default()).collect();
+        Self { shards }
+    }
+}
+
+impl Services {
+    /// State of `name`, created on first use.
+    pub fn get(&self, now: MonoTime, name: &ServiceName) -> Arc<ServiceState> {
+        let mut shard = lock(self.shard(name));
+        if let Some(state) = shard.get(name) {
+            return Arc::clone(state);
+        }
+        let state = Arc::new(ServiceState::new(now, name.clone()));
+        shard.insert(name.clone(), Arc::clone(&state));
+        state
+    }
+
+    /// State of `name`, if it was used.
+    pub fn find(&self, name: &ServiceName) -> Option<Arc<ServiceState>> {
+        lock(self.shard(name)).get(name).cloned()
+    }
+
+    fn shard(&self, name: &ServiceName) -> &Mutex<HashMap<ServiceName, Arc<ServiceState>>> {
+        let hash = stable_hash(0, name.as_str().as_bytes());
+        &self.shards[(hash % SHARDS as u64) as usize]
+    }
+}
