Mend a link of the documentation to a private item

Cause: cargo doc -D warnings refuses a link from public documentation to a private item. Ruled out: making the item public, which nobody needs. Conclusion: the sentence needs no link.

--- a/crates/rhubarblanding_node/src/request/call.rs
+++ b/crates/rhubarblanding_node/src/request/call.rs
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Reads what [`write`](Self::write) wrote.
+    /// Reads the headers of a call between nodes.
     ///
     /// # Errors
     ///
