Carry the admission level of deeper services back to the entry, by kind

Cause: an entry node knew only the level of the first service, so a request that a deeper service would shed still took slots of every service above it. A refusal for load that an entry node gave to a keyed request said not-run although an earlier attempt of the key may have run. Change: each node remembers which kinds of other services its kinds call, reports the highest level among them with its own, and checks it before the backend server is asked. Keyed requests are shed by their home, after the copy has said that the key did not run; where nobody could be asked the answer is home_unavailable with run state unknown. Ruled out: one level per service, which would shed kinds that do not call the overloaded service; refusing keyed requests at the entry as unknown, which would spend the caller's attempt for nothing.

--- a/crates/rhubarblanding_core/src/error.rs
+++ b/crates/rhubarblanding_core/src/error.rs
@@ -135,8 +135,8 @@
     OutcomeUnknown => 409, Unknown, SameKeyAfter, "refused.outcome_unknown", "The outcome of this idempotency key is not known.";
     /// The key is running at present.
     KeyInProgress => 409, Unknown, SameKeyAfter, "refused.key_in_progress", "The idempotency key is running.";
-    /// The nodes that decide on the key cannot be reached.
-    HomeUnavailable => 503, NotRun, After, "refused.home_unavailable", "The nodes that decide on this idempotency key cannot be reached.";
+    /// The nodes that decide on the key cannot be reached, so an earlier attempt may have run.
+    HomeUnavailable => 503, Unknown, SameKeyAfter, "refused.home_unavailable", "The nodes that decide on this idempotency key cannot be reached.";
     /// The node that was asked does not decide on the key.
     HomeMoved => 503, NotRun, After, "refused.home_moved", "Another node decides on this idempotency key.";
     /// The answer was recorded but is too large to be repeated.
--- a/crates/rhubarblanding_node/src/request/backend.rs
+++ b/crates/rhubarblanding_node/src/request/backend.rs
@@ -95,6 +95,10 @@
     req: &BackendRequest,
     running: RequestRef,
 ) -> Result<BackendAnswer, BackendError> {
+    let now = node.clock.now();
+    node.registry
+        .check_downstream(now, req.kind, req.cx.priority)
+        .map_err(BackendError::NotRun)?;
     let pass = node
         .gate
         .admit(&req.cx, req.kind)
--- a/crates/rhubarblanding_node/src/request/call.rs
+++ b/crates/rhubarblanding_node/src/request/call.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri, uri::PathAndQuery};
 use http_body_util::Full;
+use rhubarblanding_admission::prelude::KindId;
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_once::prelude::Role;
 use rhubarblanding_request::prelude::*;
@@ -16,6 +17,8 @@
 pub struct CallRequest {
     /// Service that is called.
     pub service: ServiceName,
+    /// Number of the kind within the service.
+    pub kind: KindId,
     /// Method for the backend server.
     pub method: Method,
     /// Path for the backend server.
--- a/crates/rhubarblanding_node/src/request/dispatch.rs
+++ b/crates/rhubarblanding_node/src/request/dispatch.rs
@@ -207,7 +207,7 @@
     fn note_load(&self, now: MonoTime, id: TargetId, map: &http::HeaderMap) {
         let text: Option<String> = headers::parse(map, &headers::LOAD);
         if let Some(report) = text.and_then(|text| load_header::read(&text)) {
-            self.service.observe(now, id, report);
+            self.service.observe(now, id, self.call.kind, report);
         }
     }
 }
--- a/crates/rhubarblanding_node/src/request/entry.rs
+++ b/crates/rhubarblanding_node/src/request/entry.rs
@@ -7,7 +7,7 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Response, Uri};
 use rand::Rng;
-use rhubarblanding_admission::prelude::CallerId;
+use rhubarblanding_admission::prelude::{CallerId, KindId};
 use rhubarblanding_core::collections::stable_hash;
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_request::prelude::*;
@@ -18,6 +18,7 @@
 use super::{CallRequest, RequestRef, answer, body, headers};
 use crate::connection::Body;
 use crate::process::{Event, Shared};
+use crate::version::kind_id;
 
 /// Longest deadline that a caller may ask for.
 const DEADLINE_MAX: Duration = Duration::from_secs(24 * 60 * 60);
@@ -90,9 +91,6 @@
 }
 
 async fn enter(node: &Arc<Shared>, req: Taken) -> Result<Response<Body>, Rejected> {
-    if !node.phase.is_serving() {
-        return Err(Refusal::new(ErrorKind::NodeDraining).into());
-    }
     let (service, path) = split_path(&req.uri)?;
     let document = node.document.get();
     let spec = document.service(&service).ok_or_else(|| {
@@ -107,21 +105,26 @@
     let root = RootId(rand::rng().random());
     let cx = RequestContext::new(root, kind.importance, deadline, kind.idempotency);
     let key = read_key(&req.headers, kind)?;
-    if let Some(caller) = caller_id(req.sender, &req.headers) {
-        node.throttle()
-            .check(now, &mut rand::rng(), caller, cx.importance)?;
+    if !node.phase.is_serving() {
+        return Err(unasked(key, Refusal::new(ErrorKind::NodeDraining)).into());
     }
     let state = node.services.get(now, &service);
-    state.check_entry(now, cx.priority)?;
+    let kind_id = kind_id(spec, kind);
+    // Whether a key ran before is known at its home only, which sheds it truthfully.
+    if key.is_none() {
+        check_throttle(node, &req, cx.importance)?;
+        state.check_entry(now, kind_id, cx.priority)?;
+    }
     let call = CallRequest {
         service,
+        kind: kind_id,
         method: req.method,
         path,
         headers: outgoing_headers(req.headers),
         body: read_body(req.body, kind).await?,
         key,
     };
-    let guard = OpenRequest::open(node, cx, retry_allowance(kind));
+    let guard = OpenRequest::open(node, cx, kind_id, retry_allowance(kind));
     let dispatch = Dispatch {
         node,
         service: state,
@@ -134,6 +137,28 @@
     Ok(answer?)
 }
 
+fn check_throttle(node: &Shared, req: &Taken, importance: Importance) -> Result<(), Refusal> {
+    let now = node.clock.now();
+    match caller_id(req.sender, &req.headers) {
+        Some(caller) => node
+            .throttle()
+            .check(now, &mut rand::rng(), caller, importance),
+        None => Ok(()),
+    }
+}
+
+/// The refusal of a request for which nobody was asked: an earlier attempt of a key may have run.
+pub fn unasked(key: Option<IdempotencyKey>, refusal: Refusal) -> Refusal {
+    let not_run = refusal.kind.answer().run_state == RunState::NotRun;
+    match key {
+        Some(_) if not_run => Refusal {
+            kind: ErrorKind::HomeUnavailable,
+            ..refusal
+        },
+        _ => refusal,
+    }
+}
+
 /// Splits `/<service>/<path>` into the service and the path for its backend server.
 ///
 /// # Errors
@@ -241,10 +266,10 @@
 
 impl<'a> OpenRequest<'a> {
     /// Opens a request that may cause `allowance` retries.
-    pub fn open(node: &'a Arc<Shared>, cx: RequestContext, allowance: u8) -> Self {
+    pub fn open(node: &'a Arc<Shared>, cx: RequestContext, kind: KindId, allowance: u8) -> Self {
         Self {
             node,
-            req: node.registry.open(cx, allowance),
+            req: node.registry.open(cx, kind, allowance),
             answered: false,
         }
     }
--- a/crates/rhubarblanding_node/src/request/keyed.rs
+++ b/crates/rhubarblanding_node/src/request/keyed.rs
@@ -47,7 +47,22 @@
             break;
         }
     }
-    Err(refusal)
+    Err(asked(refusal))
+}
+
+/// The refusal for the caller: a member that does not decide on the key knows nothing of it.
+fn asked(refusal: Refusal) -> Refusal {
+    let knows_nothing = matches!(
+        refusal.kind,
+        ErrorKind::HomeMoved | ErrorKind::NoTarget | ErrorKind::ConnectFailed
+    );
+    match knows_nothing {
+        true => Refusal {
+            kind: ErrorKind::HomeUnavailable,
+            ..refusal
+        },
+        false => refusal,
+    }
 }
 
 impl KeyedCall<'_> {
--- a/crates/rhubarblanding_node/src/request/local.rs
+++ b/crates/rhubarblanding_node/src/request/local.rs
@@ -4,6 +4,7 @@
 
 use http::{HeaderMap, Response, StatusCode, Uri};
 use rand::Rng;
+use rhubarblanding_admission::prelude::KindId;
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_request::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -11,12 +12,16 @@
 use super::dispatch::Dispatch;
 use super::entry::{
     OpenRequest, Rejected, asked_deadline, outgoing_headers, read_body, read_key, split_path,
+    unasked,
 };
 use super::faces::Taken;
 use super::{CallRequest, RequestRef, answer, body, headers};
 use crate::connection::Body;
 use crate::process::{Event, Shared};
+use crate::version::kind_id;
 
+/// Kind of a downstream call that no running request makes.
+const ORPHAN_KIND: KindId = KindId(KindId::MAX);
 /// Path prefix of downstream calls.
 const CALL_PREFIX: &str = "/call";
 /// Greatest size of an announcement in bytes.
@@ -109,12 +114,13 @@
             RequestContext::new(root, kind.importance, deadline, kind.idempotency)
         }
     };
+    let key = read_key(&req.headers, kind)?;
     if cx.is_expired(now) {
-        return Err(Refusal::new(ErrorKind::DeadlineBeforeRun).into());
+        return Err(unasked(key, Refusal::new(ErrorKind::DeadlineBeforeRun)).into());
     }
-    let key = read_key(&req.headers, kind)?;
     let call = CallRequest {
         service,
+        kind: kind_id(spec, kind),
         method: req.method,
         path,
         headers: outgoing_headers(req.headers),
@@ -122,15 +128,23 @@
         key,
     };
     let state = node.services.get(now, &call.service);
-    state.check_entry(now, cx.priority)?;
+    if let Some((req, _)) = &parent {
+        node.registry.note_call(*req, &state, call.kind);
+    }
+    // Whether a key ran before is known at its home only, which sheds it truthfully.
+    if call.key.is_none() {
+        state.check_entry(now, call.kind, cx.priority)?;
+    }
     // A call without a known request may cause no retries.
-    let orphan = parent.is_none().then(|| OpenRequest::open(node, cx, 0));
+    let orphan = parent
+        .is_none()
+        .then(|| OpenRequest::open(node, cx, ORPHAN_KIND, 0));
     let payer = match (&parent, &orphan) {
         (Some((req, _)), _) => *req,
         (None, Some(orphan)) => orphan.req,
         (None, None) => return Err(Refusal::new(ErrorKind::Internal).into()),
     };
-    charge_repeat(node, payer, &call)?;
+    charge_repeat(node, payer, &call).map_err(|refusal| unasked(call.key, refusal))?;
     let _time = DownstreamTime::start(node, payer);
     let dispatch = Dispatch {
         node,
@@ -167,14 +181,14 @@
     found
 }
 
-fn charge_repeat(node: &Shared, payer: RequestRef, call: &CallRequest) -> Result<(), Rejected> {
+fn charge_repeat(node: &Shared, payer: RequestRef, call: &CallRequest) -> Result<(), Refusal> {
     match node.registry.begin_call(payer, call.digest()) {
         CallStart::First => Ok(()),
         CallStart::Repeat => {
             node.counters.retry(RetryReason::BackendRepeat);
             Ok(())
         }
-        CallStart::Refused => Err(Refusal::new(ErrorKind::RetryExhausted).into()),
+        CallStart::Refused => Err(Refusal::new(ErrorKind::RetryExhausted)),
     }
 }
 
--- a/crates/rhubarblanding_node/src/request/registry.rs
+++ b/crates/rhubarblanding_node/src/request/registry.rs
@@ -1,20 +1,26 @@
 //! Running requests of a node: their allowance and the time that they spend in downstream calls.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use parking::{Mutex, lock};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rhubarblanding_admission::prelude::KindId;
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_request::prelude::*;
 
 use crate::process::parking;
+use crate::version::ServiceState;
 
 /// Number of shards, each under its own lock.
 const SHARDS: usize = 8;
 /// Hexadecimal digits that name the shard in front of a token.
 const SHARD_DIGITS: usize = 2;
 
+/// Greatest number of callees that are remembered for one kind.
+const CALLEES_MAX: usize = 64;
+
 /// Names one running request of this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RequestRef {
@@ -23,8 +29,9 @@
 }
 
 /// Time during which at least one downstream call of a request is running.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct DownstreamTime {
+    kind: KindId,
     running: u32,
     since: MonoTime,
     total: Duration,
@@ -37,10 +44,19 @@
     rng: SmallRng,
 }
 
+/// A kind of request of another service that a kind of this node's requests calls.
+#[derive(Clone, Debug)]
+struct Callee {
+    service: Arc<ServiceState>,
+    kind: KindId,
+}
+
 /// All running requests, spread over shards.
 #[derive(Debug)]
 pub struct Registry {
     shards: Vec<Mutex<Shard>>,
+    /// What each kind of request calls.
+    callees: Mutex<HashMap<KindId, Vec<Callee>>>,
 }
 
 impl Default for Registry {
@@ -52,17 +68,29 @@
         };
         Self {
             shards: (0..SHARDS).map(|_| Mutex::new(shard())).collect(),
+            callees: Mutex::default(),
         }
     }
 }
 
 impl Registry {
-    /// Opens a request that may cause `allowance` retries.
-    pub fn open(&self, cx: RequestContext, allowance: u8) -> RequestRef {
+    /// Opens a request of `kind` that may cause `allowance` retries.
+    pub fn open(&self, cx: RequestContext, kind: KindId, allowance: u8) -> RequestRef {
         let shard = (cx.root.0 % SHARDS as u64) as u8;
         let mut guard = lock(&self.shards[usize::from(shard)]);
-        let Shard { ledger, rng, .. } = &mut *guard;
+        let Shard {
+            ledger,
+            downstream,
+            rng,
+        } = &mut *guard;
         let key = ledger.open(rng, cx, allowance);
+        let time = DownstreamTime {
+            kind,
+            running: 0,
+            since: MonoTime::ZERO,
+            total: Duration::ZERO,
+        };
+        downstream.insert(key, time);
         RequestRef { shard, key }
     }
 
@@ -127,10 +155,9 @@
     /// Records that a downstream call of the request begins to run.
     pub fn downstream_started(&self, now: MonoTime, req: RequestRef) {
         let mut shard = self.shard(req);
-        if !shard.ledger.is_open(req.key) {
+        let Some(time) = shard.downstream.get_mut(&req.key) else {
             return;
-        }
-        let time = shard.downstream.entry(req.key).or_default();
+        };
         if time.running == 0 {
             time.since = now;
         }
@@ -161,6 +188,51 @@
         }
     }
 
+    /// Records that a request calls a kind of another service.
+    pub fn note_call(&self, req: RequestRef, service: &Arc<ServiceState>, kind: KindId) {
+        let own = self
+            .shard(req)
+            .downstream
+            .get(&req.key)
+            .map(|time| time.kind);
+        let Some(own) = own else {
+            return;
+        };
+        let mut callees = lock(&self.callees);
+        let known = callees.entry(own).or_default();
+        let same = |callee: &Callee| callee.kind == kind && Arc::ptr_eq(&callee.service, service);
+        if known.len() < CALLEES_MAX && !known.iter().any(same) {
+            let service = Arc::clone(service);
+            known.push(Callee { service, kind });
+        }
+    }
+
+    /// Lowest priority that every service called by requests of `kind` admits.
+    pub fn downstream_level(&self, now: MonoTime, kind: KindId) -> AdmissionLevel {
+        let callees = lock(&self.callees);
+        let levels = callees.get(&kind).into_iter().flatten();
+        levels
+            .map(|callee| callee.service.entry_level(now, callee.kind))
+            .max()
+            .unwrap_or(AdmissionLevel::OPEN)
+    }
+
+    /// Decides whether a request of `kind` may run, given the services that it will call.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of the first service that does not admit it.
+    pub fn check_downstream(
+        &self,
+        now: MonoTime,
+        kind: KindId,
+        priority: Priority,
+    ) -> Result<(), Refusal> {
+        let callees = lock(&self.callees);
+        let mut called = callees.get(&kind).into_iter().flatten();
+        called.try_for_each(|callee| callee.service.check_entry(now, callee.kind, priority))
+    }
+
     fn shard(&self, req: RequestRef) -> std::sync::MutexGuard<'_, Shard> {
         lock(&self.shards[usize::from(req.shard)])
     }
--- a/crates/rhubarblanding_node/src/request/serve.rs
+++ b/crates/rhubarblanding_node/src/request/serve.rs
@@ -25,7 +25,8 @@
 /// Answers a call of another node.
 pub async fn serve_peer(node: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     node.counters.event(Event::PeerCall);
-    let mut resp = match accept(&node, req).await {
+    let mut level = AdmissionLevel::OPEN;
+    let mut resp = match accept(&node, req, &mut level).await {
         Ok(resp) => resp,
         Err(rejected) => {
             node.counters.refusal(rejected.refusal.kind);
@@ -33,7 +34,8 @@
         }
     };
     let out = resp.headers_mut();
-    let report = node.load_report();
+    let mut report = node.load_report();
+    report.level = report.level.max(level);
     out.insert(headers::LOAD, headers::value(load_header::write(&report)));
     let document = node.document.version();
     out.insert(headers::DOCUMENT, headers::value(document.0));
@@ -50,24 +52,33 @@
     backend: BackendRequest,
 }
 
-async fn accept(node: &Arc<Shared>, req: Request<Incoming>) -> Result<Response<Body>, Rejected> {
+/// Serves a call; `level` becomes the lowest priority that the services further down admit.
+async fn accept(
+    node: &Arc<Shared>,
+    req: Request<Incoming>,
+    level: &mut AdmissionLevel,
+) -> Result<Response<Body>, Rejected> {
     let served = read(node, req).await?;
     if !node.takes_work() {
         return Err(Refusal::new(ErrorKind::TargetDraining).into());
     }
     node.note_document(served.hop.from, served.hop.document);
     let cx = served.hop.cx;
-    let running = node.registry.open(cx, served.hop.allowance);
+    let running = node
+        .registry
+        .open(cx, served.backend.kind, served.hop.allowance);
     let mut guard = OpenServed {
         node: Arc::clone(node),
         req: running,
         open: true,
     };
+    let kind = served.backend.kind;
     let answer = match served.key {
         Some(key) => run_keyed(node, served, key, running).await,
         None => run_unkeyed(node, &served.backend, running).await,
     };
     let left = guard.close();
+    *level = node.registry.downstream_level(node.clock.now(), kind);
     let mut resp = answer.unwrap_or_else(|refusal| {
         node.counters.refusal(refusal.kind);
         answer::refusal(refusal, None)
--- a/crates/rhubarblanding_node/src/version/services.rs
+++ b/crates/rhubarblanding_node/src/version/services.rs
@@ -22,7 +22,8 @@
 #[derive(Debug)]
 struct Inner {
     router: Router,
-    entry: EntryGate,
+    /// Levels by kind, since kinds differ in the services that they call further down.
+    entries: HashMap<KindId, EntryGate>,
     budget: RetryBudget,
     rng: SmallRng,
     looked_up: Option<MonoTime>,
@@ -42,7 +43,7 @@
     fn new(now: MonoTime, name: ServiceName) -> Self {
         let inner = Inner {
             router: Router::new(RouterSettings::default()),
-            entry: EntryGate::new(EntrySettings::default()),
+            entries: HashMap::default(),
             budget: RetryBudget::new(now, BudgetSettings::default()),
             rng: SmallRng::from_os_rng(),
             looked_up: None,
@@ -81,7 +82,9 @@
     pub fn remove(&self, host: HostId) {
         let mut inner = lock(&self.inner);
         inner.router.remove(host);
-        inner.entry.forget(host);
+        for entry in inner.entries.values_mut() {
+            entry.forget(host);
+        }
     }
 
     /// Completes when a target appears or changes, if it does so after this call.
@@ -109,14 +112,29 @@
         due
     }
 
-    /// Decides whether a request may enter towards this service.
+    /// Decides whether a request of `kind` may enter towards this service.
     ///
     /// # Errors
     ///
     /// The refusal of the entry gate.
-    pub fn check_entry(&self, now: MonoTime, priority: Priority) -> Result<(), Refusal> {
-        let Inner { entry, rng, .. } = &mut *lock(&self.inner);
-        entry.check(now, rng, priority)
+    pub fn check_entry(
+        &self,
+        now: MonoTime,
+        kind: KindId,
+        priority: Priority,
+    ) -> Result<(), Refusal> {
+        let Inner { entries, rng, .. } = &mut *lock(&self.inner);
+        match entries.get_mut(&kind) {
+            Some(entry) => entry.check(now, rng, priority),
+            None => Ok(()),
+        }
+    }
+
+    /// Lowest priority that this service and those behind it admit for `kind`.
+    pub fn entry_level(&self, now: MonoTime, kind: KindId) -> AdmissionLevel {
+        let mut inner = lock(&self.inner);
+        let entry = inner.entries.get_mut(&kind);
+        entry.map_or(AdmissionLevel::OPEN, |entry| entry.level(now))
     }
 
     /// Records the start of an attempt at a target.
@@ -133,11 +151,15 @@
         lock(&self.inner).router.finished(now, id, outcome);
     }
 
-    /// Records the load that an answer of a target carried.
-    pub fn observe(&self, now: MonoTime, id: TargetId, report: LoadReport) {
+    /// Records the load that a target's answer to a request of `kind` carried.
+    pub fn observe(&self, now: MonoTime, id: TargetId, kind: KindId, report: LoadReport) {
         let mut inner = lock(&self.inner);
         inner.router.observe(now, id, report);
-        inner.entry.observe(now, id.host, report);
+        let entry = inner
+            .entries
+            .entry(kind)
+            .or_insert_with(|| EntryGate::new(EntrySettings::default()));
+        entry.observe(now, id.host, report);
     }
 
     /// Records a failed attempt and returns what the retry budget says.
