Prove that submissions converge, by fuzzing and against the stand-in

The fuzz draws operators, nodes and a service that loses, delays and goes stale, and checks every verdict told against every document ever stored.

The first full-memory scenario never forgot an operator's record, since its fillers had the lowest numbers; a count of verdicts per scenario showed it.

--- /dev/null
+++ b/crates/rhubarblanding_tickets/tests/convergence/main.rs
@@ -0,0 +1,169 @@
+//! Stateful fuzzing of submission and adoption: several operators and nodes, a key-value service
+//! that loses, delays and repeats, and an oracle that sees every document ever stored.
+//!
+//! The number of cases is set by `RHUBARBLANDING_FUZZ_CASES`. Seeds are fixed.
+
+mod actions;
+mod oracle;
+mod store;
+mod world;
+
+use googletest::prelude::*;
+use proptest::strategy::{Strategy, ValueTree};
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+use actions::Action;
+use oracle::{Tally, Violation};
+use world::{Defect, Scenario, World};
+
+/// Cases of each test unless the environment says otherwise.
+const DEFAULT_CASES: u32 = 48;
+/// Greatest number of actions in a case.
+const ACTIONS_MAX: usize = 160;
+/// Cases within which a defect must be caught.
+const DEFECT_CASES: u32 = 200;
+
+fn cases() -> u32 {
+    std::env::var("RHUBARBLANDING_FUZZ_CASES")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(DEFAULT_CASES)
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+/// Generator of actions; every action is possible at any time.
+struct Actions;
+
+impl ReferenceStateMachine for Actions {
+    type State = ();
+    type Transition = Action;
+
+    fn init_state() -> proptest::strategy::BoxedStrategy<()> {
+        proptest::strategy::Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> proptest::strategy::BoxedStrategy<Action> {
+        actions::any_action().boxed()
+    }
+
+    fn apply(state: (), _transition: &Action) {
+        state
+    }
+}
+
+fn demand(checked: std::result::Result<(), Violation>) {
+    if let Err(violation) = checked {
+        panic!("{violation:?}");
+    }
+}
+
+macro_rules! state_machine_test {
+    ($test:ident, $machine:ident, $scenario:expr) => {
+        struct $machine;
+
+        impl StateMachineTest for $machine {
+            type SystemUnderTest = World;
+            type Reference = Actions;
+
+            fn init_test(_state: &()) -> World {
+                World::new($scenario, Defect::None)
+            }
+
+            fn apply(mut world: World, _state: &(), action: Action) -> World {
+                demand(world.act(&action));
+                world
+            }
+
+            fn teardown(mut world: World, _state: ()) {
+                demand(world.settle());
+            }
+        }
+
+        #[test]
+        fn $test() {
+            let strategy = Actions::sequential_strategy(1..ACTIONS_MAX);
+            let mut runner = runner(cases());
+            let config = runner.config().clone();
+            let result = runner.run(&strategy, |(state, actions, seen)| {
+                $machine::test_sequential(config.clone(), state, actions, seen);
+                Ok(())
+            });
+            assert_that!(result, ok(anything()));
+        }
+    };
+}
+
+state_machine_test!(tickets_converge, Fresh, Scenario::Fresh);
+state_machine_test!(
+    tickets_converge_with_full_memory,
+    Full,
+    Scenario::FullMemory
+);
+
+/// Results of running `DEFECT_CASES` cases while a mechanism is switched off.
+fn results_of(scenario: Scenario, defect: Defect) -> Vec<std::result::Result<Tally, Violation>> {
+    let strategy = proptest::collection::vec(actions::any_action(), 1..ACTIONS_MAX);
+    let mut runner = runner(DEFECT_CASES);
+    (0..DEFECT_CASES)
+        .filter_map(|_| strategy.new_tree(&mut runner).ok())
+        .map(|tree| World::new(scenario, defect).run(&tree.current()))
+        .collect()
+}
+
+fn defect_is_caught(defect: Defect, expected: fn(&Violation) -> bool) {
+    let scenario = match defect {
+        Defect::RefuseForgotten => Scenario::FullMemory,
+        _ => Scenario::Fresh,
+    };
+    let results = results_of(scenario, defect);
+    let violations = results.iter().filter_map(|result| result.as_ref().err());
+    let caught = violations.filter(|violation| expected(violation)).count();
+    println!("{defect:?}: {caught} of {DEFECT_CASES} cases");
+    assert_that!(caught, gt(0));
+}
+
+rhubarblanding_core::cases! {
+    defect_is_caught;
+    write_without_comparison: (Defect::BlindPut, |v| matches!(v, Violation::AcceptedButReplaced { .. }));
+    lower_version_adopted: (Defect::AdoptLower, |v| matches!(v, Violation::NodeWentBack { .. }));
+    lost_answer_taken_for_stored: (Defect::GuessStored, |v| matches!(v, Violation::AcceptedButNeverStored { .. }));
+    lost_answer_taken_for_refused: (Defect::GuessRefused, |v| matches!(v, Violation::RefusedButStored { .. }));
+    read_back_taken_for_final: (Defect::RefuseAfterReadBack, |v| matches!(v, Violation::RefusedButStored { .. }));
+    fresh_identifier_for_each_try: (Defect::FreshIdentifier, |v| matches!(v, Violation::RefusedButStored { .. }));
+    forgotten_taken_for_refused: (Defect::RefuseForgotten, |v| matches!(v, Violation::RefusedButStored { .. } | Violation::VerdictChanged { .. }));
+    number_order_not_checked: (Defect::IgnoreNumbers, |v| matches!(v, Violation::AcceptedButReplaced { .. }));
+}
+
+fn cases_reach_every_verdict(scenario: Scenario, forgotten: bool) {
+    let tallies: Vec<_> = results_of(scenario, Defect::None)
+        .into_iter()
+        .filter_map(std::result::Result::ok)
+        .collect();
+    let sum = |of: fn(&Tally) -> usize| tallies.iter().map(of).sum::<usize>();
+    let counts = [
+        sum(|t| t.accepted),
+        sum(|t| t.refused),
+        sum(|t| t.forgotten),
+    ];
+    println!("{scenario:?}: accepted, refused, forgotten: {counts:?}");
+    assert_that!(tallies, len(eq(DEFECT_CASES as usize)));
+    assert_that!(counts[0], gt(0));
+    assert_that!(counts[1], gt(0));
+    assert_that!(counts[2] > 0, eq(forgotten));
+}
+
+rhubarblanding_core::cases! {
+    cases_reach_every_verdict;
+    no_defect_no_violation: (Scenario::Fresh, false);
+    no_defect_no_violation_with_full_memory: (Scenario::FullMemory, true);
+}
