Wait for documents too at the end of a fuzzing case

The case ended as soon as the views agreed, before a document handed in last had time to spread, and lives of one host were mixed up in the check on versions.

--- a/crates/rhubarblanding_membership/tests/common/mod.rs
+++ b/crates/rhubarblanding_membership/tests/common/mod.rs
@@ -183,6 +183,14 @@
         })
     }
 
+    /// Whether every live node holds the same document.
+    pub fn documents_agree(&self) -> bool {
+        let live = self.live().into_iter().filter_map(|node| self.member(node));
+        let newest = live.map(Membership::document_version).max();
+        self.lacking(|member| Some(member.document_version()) == newest)
+            .is_empty()
+    }
+
     /// Live nodes for which `check` does not hold.
     pub fn lacking(&self, check: impl Fn(&Membership) -> bool) -> Vec<usize> {
         let live = self.live().into_iter();
--- a/crates/rhubarblanding_membership/tests/common/oracle.rs
+++ b/crates/rhubarblanding_membership/tests/common/oracle.rs
@@ -53,14 +53,17 @@
 }
 
 impl Oracle {
-    /// Notes that `node` was started, killed, paused or continued.
+    /// Notes that `node` was paused or continued.
     pub fn disturb(&mut self, fleet: &Fleet, node: usize) {
-        let observer = NodeKey(node);
         self.disturbed.insert(node, fleet.net.now);
-        if fleet.member(node).is_none() {
-            self.ended.retain(|(by, _), _| *by != observer);
-            self.versions.remove(&observer);
-        }
+    }
+
+    /// Notes that a life of `node` began or ended; what it knew before is gone.
+    pub fn note_life(&mut self, fleet: &Fleet, node: usize) {
+        let observer = NodeKey(node);
+        self.disturb(fleet, node);
+        self.ended.retain(|(by, _), _| *by != observer);
+        self.versions.remove(&observer);
     }
 
     /// Notes that the network changed for all nodes.
--- a/crates/rhubarblanding_membership/tests/fuzz.rs
+++ b/crates/rhubarblanding_membership/tests/fuzz.rs
@@ -191,11 +191,12 @@
     fn note(&mut self, action: &Action) {
         match action {
             Action::Leave(node) => self.oracle.note_leaving(&self.fleet, *node),
-            Action::Kill(node)
-            | Action::Start(node)
-            | Action::Stop(node)
-            | Action::Pause(node)
-            | Action::Continue(node) => self.oracle.disturb(&self.fleet, *node),
+            Action::Pause(node) | Action::Continue(node) => {
+                self.oracle.disturb(&self.fleet, *node);
+            }
+            Action::Kill(node) | Action::Start(node) | Action::Stop(node) => {
+                self.oracle.note_life(&self.fleet, *node);
+            }
             _ => {}
         }
     }
@@ -232,21 +233,13 @@
             .enumerate()
             .filter(|(_, life)| **life == Life::Paused);
         paused.for_each(|(node, _)| run.fleet.net.pause(NodeKey(node), false));
-        let took = run.fleet.run_until(CONVERGENCE_LIMIT, Fleet::converged);
+        let agree = |fleet: &Fleet| fleet.converged() && fleet.documents_agree();
+        let took = run.fleet.run_until(CONVERGENCE_LIMIT, agree);
+        let (views, documents) = (run.fleet.converged(), run.fleet.documents_agree());
         assert!(
             took.is_some(),
-            "views differ {CONVERGENCE_LIMIT:?} after the faults ended"
+            "agreement of views: {views}, of documents: {documents}"
         );
-        let newest = run
-            .fleet
-            .live()
-            .into_iter()
-            .filter_map(|n| run.fleet.member(n));
-        let newest = newest.map(Membership::document_version).max();
-        let stale = run
-            .fleet
-            .lacking(|member| Some(member.document_version()) == newest);
-        assert!(stale.is_empty(), "stale documents at {stale:?}");
     }
 }
 
