Fuzz the at-most-once ledger with many nodes against an oracle

Cause: the ledger was only shown to work on the path without faults.

Drawn runs of 120 operations mix repeats through any two nodes, lost, duplicated and reordered messages, paused and replaced nodes, a node cut off, the store down and compare-and-swap answers lost after effect, silent connections and callers' clocks that are off. The oracle checks that each key runs at most once, that an attempt answered not-run never runs, and that each answer has the bytes of the one run.

Each protecting mechanism can be switched off, and a test requires that the oracle then fails.

--- /dev/null
+++ b/crates/rhubarblanding_once/tests/at_most_once/fuzz.rs
@@ -0,0 +1,176 @@
+//! Stateful fuzzing of many nodes against the oracle, from a fixed seed.
+
+use std::cell::RefCell;
+use std::env;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, TestCaseError, TestError, TestRng, TestRunner};
+use proptest_state_machine::ReferenceStateMachine;
+
+use rhubarblanding_core::cases;
+use rhubarblanding_once::ledger::Safeguards;
+
+use crate::sim::machine::{Faults, Reference, benign_ops, faulty_ops, setup, table_change_ops};
+use crate::sim::{Cluster, Op, Setup, Tally};
+
+/// Cases of each run, unless the environment says otherwise.
+const CASES: u32 = 200;
+/// Operations of one case.
+const STEPS: usize = 120;
+const CASES_VARIABLE: &str = "RHUBARBLANDING_FUZZ_CASES";
+
+fn cases() -> u32 {
+    let value = env::var(CASES_VARIABLE).ok();
+    value.and_then(|value| value.parse().ok()).unwrap_or(CASES)
+}
+
+/// Runner with the fixed seed of [`TestRng::deterministic_rng`].
+fn runner(cases: u32) -> TestRunner {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(config.rng_algorithm);
+    TestRunner::new_with_rng(config, rng)
+}
+
+fn run(setup: &Setup, ops: Vec<Op>) -> Cluster {
+    let mut cluster = Cluster::new(setup.clone());
+    for op in ops {
+        cluster.apply(op);
+        if cluster.oracle.violation.is_some() {
+            break;
+        }
+    }
+    cluster
+}
+
+/// Runs drawn cases and returns what callers were told, or the violation.
+fn fuzz<F: Faults>(cases: u32) -> std::result::Result<Tally, String> {
+    let tally = RefCell::new(Tally::default());
+    let strategy = Reference::<F>::sequential_strategy(STEPS..=STEPS);
+    let result = runner(cases).run(&strategy, |(setup, ops, _)| {
+        let cluster = run(&setup, ops);
+        tally.borrow_mut().add(&cluster.oracle.tally);
+        match cluster.oracle.violation {
+            Some(violation) => Err(TestCaseError::fail(violation)),
+            None => Ok(()),
+        }
+    });
+    match result {
+        Ok(()) => Ok(tally.into_inner()),
+        Err(TestError::Fail(reason, (setup, ops, _))) => {
+            let cases = tally.into_inner().cases;
+            Err(format!("case {cases}: {reason}\n{setup:?}\n{ops:#?}"))
+        }
+        Err(TestError::Abort(reason)) => Err(reason.to_string()),
+    }
+}
+
+struct AnyFault;
+
+impl Faults for AnyFault {
+    fn ops() -> BoxedStrategy<Op> {
+        faulty_ops()
+    }
+
+    fn setup() -> BoxedStrategy<Setup> {
+        setup(Safeguards::default(), true)
+    }
+}
+
+struct TableChange;
+
+impl Faults for TableChange {
+    fn ops() -> BoxedStrategy<Op> {
+        table_change_ops()
+    }
+
+    fn setup() -> BoxedStrategy<Setup> {
+        setup(Safeguards::default(), false)
+    }
+}
+
+struct NoFault;
+
+impl Faults for NoFault {
+    fn ops() -> BoxedStrategy<Op> {
+        benign_ops()
+    }
+
+    fn setup() -> BoxedStrategy<Setup> {
+        setup(Safeguards::default(), false)
+    }
+}
+
+fn holds(fuzz: fn(u32) -> std::result::Result<Tally, String>) {
+    match fuzz(cases()) {
+        Ok(tally) => println!("{tally:?}, unknown share {:.3}", tally.unknown_share()),
+        Err(failure) => panic!("{failure}"),
+    }
+}
+
+cases! {
+    holds;
+    each_key_runs_at_most_once_under_any_fault: (fuzz::<AnyFault>);
+    each_key_runs_at_most_once_while_the_table_changes: (fuzz::<TableChange>);
+}
+
+#[gtest]
+fn without_faults_nothing_is_refused() {
+    let tally = fuzz::<NoFault>(cases()).unwrap();
+    println!("no fault: {tally:?}");
+    expect_that!(tally.refused.len(), eq(0));
+}
+
+/// Declares a kind of run with one mechanism switched off.
+macro_rules! without {
+    ($($name:ident: $field:ident, $ops:path;)+) => {
+        $(
+            struct $name;
+
+            impl Faults for $name {
+                fn ops() -> BoxedStrategy<Op> {
+                    $ops()
+                }
+
+                fn setup() -> BoxedStrategy<Setup> {
+                    let safeguards = Safeguards { $field: false, ..Safeguards::default() };
+                    setup(safeguards, true)
+                }
+            }
+        )+
+    };
+}
+
+without! {
+    WithoutCopyAck: copy_ack, faulty_ops;
+    WithoutArbiter: copy_arbiter, faulty_ops;
+    WithoutWitness: witness, table_change_ops;
+    WithoutGate: adoption_gate, table_change_ops;
+    WithoutHorizon: horizon, faulty_ops;
+    WithoutIncarnationCheck: incarnation_check, faulty_ops;
+    WithoutRunCheck: run_check, faulty_ops;
+}
+
+/// Cases within which a missing mechanism has to show.
+const CASES_TO_SHOW: u32 = 20_000;
+
+fn shows(fuzz: fn(u32) -> std::result::Result<Tally, String>) {
+    let failure = fuzz(CASES_TO_SHOW).unwrap_err();
+    println!("{}", failure.lines().next().unwrap_or_default());
+}
+
+cases! {
+    shows;
+    missing_copy_acknowledgement_shows: (fuzz::<WithoutCopyAck>);
+    missing_arbiter_shows: (fuzz::<WithoutArbiter>);
+    missing_witness_shows: (fuzz::<WithoutWitness>);
+    missing_adoption_gate_shows: (fuzz::<WithoutGate>);
+    missing_horizon_shows: (fuzz::<WithoutHorizon>);
+    missing_incarnation_check_shows: (fuzz::<WithoutIncarnationCheck>);
+    missing_run_check_shows: (fuzz::<WithoutRunCheck>);
+}
--- a/crates/rhubarblanding_once/tests/at_most_once/main.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/main.rs
@@ -2,4 +2,6 @@
 #![expect(clippy::unwrap_used, reason = "a failed fixture fails its test")]
 
 mod common;
+mod fuzz;
 mod ledger;
+mod sim;
--- /dev/null
+++ b/crates/rhubarblanding_once/tests/at_most_once/sim/oracle.rs
@@ -0,0 +1,100 @@
+//! The promises that a simulated cluster is checked against.
+
+use rhubarblanding_core::collections::{HashMap, HashSet};
+use rhubarblanding_core::error::{ErrorKind, RunState};
+use rhubarblanding_core::ids::IdempotencyKey;
+use rhubarblanding_once::prelude::*;
+
+/// How often callers got each kind of answer, and what the cluster went through.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    pub cases: u64,
+    pub answered: u64,
+    pub refused: HashMap<ErrorKind, u64>,
+    pub runs: u64,
+    pub runs_at_copy: u64,
+    pub epochs_activated: u64,
+}
+
+impl Tally {
+    pub fn add(&mut self, other: &Self) {
+        self.cases += 1;
+        self.answered += other.answered;
+        self.runs += other.runs;
+        self.runs_at_copy += other.runs_at_copy;
+        self.epochs_activated += other.epochs_activated;
+        for (kind, count) in &other.refused {
+            *self.refused.entry(*kind).or_default() += count;
+        }
+    }
+
+    /// Number of refusals that say that the request is in this state.
+    pub fn refused_as(&self, state: RunState) -> u64 {
+        let refused = self.refused.iter();
+        let in_state = refused.filter(|(kind, _)| kind.answer().run_state == state);
+        in_state.map(|(_, count)| count).sum()
+    }
+
+    /// Share of the callers that were told that the outcome is not known.
+    pub fn unknown_share(&self) -> f64 {
+        let total = self.answered + self.refused.values().sum::<u64>();
+        self.refused_as(RunState::Unknown) as f64 / total as f64
+    }
+}
+
+/// Runs and answers seen so far.
+#[derive(Clone, Debug, Default)]
+pub struct Oracle {
+    runs: HashMap<IdempotencyKey, Vec<RecordedAnswer>>,
+    /// Asks whose request reached a backend server that ran it.
+    ran_for: HashSet<CallerId>,
+    /// Asks of attempts that were answered not-run.
+    refused: HashSet<CallerId>,
+    pub tally: Tally,
+    pub violation: Option<String>,
+}
+
+impl Oracle {
+    pub fn on_run(&mut self, key: IdempotencyKey, caller: CallerId, answer: RecordedAnswer) {
+        let runs = self.runs.entry(key).or_default();
+        runs.push(answer);
+        let count = runs.len();
+        if count > 1 {
+            self.report(format!("{key} ran {count} times"));
+        }
+        self.tally.runs += 1;
+        self.ran_for.insert(caller);
+        if self.refused.contains(&caller) {
+            self.report(format!("{caller:?} was refused not-run and ran later"));
+        }
+    }
+
+    fn report(&mut self, violation: String) {
+        self.violation.get_or_insert(violation);
+    }
+
+    pub fn answer_of(&self, key: IdempotencyKey) -> Option<&RecordedAnswer> {
+        self.runs.get(&key)?.first()
+    }
+
+    pub fn on_answer(&mut self, key: IdempotencyKey, answer: &RecordedAnswer) {
+        self.tally.answered += 1;
+        if self.answer_of(key) != Some(answer) {
+            self.report(format!("{key} was answered with other bytes"));
+        }
+    }
+
+    pub fn on_refusal(&mut self, asks: &[CallerId], kind: ErrorKind) {
+        *self.tally.refused.entry(kind).or_default() += 1;
+        if kind.answer().run_state == RunState::NotRun {
+            self.on_not_run(asks);
+        }
+    }
+
+    fn on_not_run(&mut self, asks: &[CallerId]) {
+        self.refused.extend(asks);
+        if let Some(caller) = asks.iter().find(|caller| self.ran_for.contains(*caller)) {
+            self.report(format!("{caller:?} ran and was refused not-run"));
+        }
+    }
+}
