Prove the retry bound over whole call trees by fuzzing

Cause: the promise is that retries of a root request stay within its allowance over the whole chain, whatever is lost, duplicated or reordered.

What failed first: the first model drew peers that return more than is left to them. The run failed ("retries of root 0: 3 with allowance 2"): a node cannot check what another node has spent. A peer that lies is not among the faults, so it became a switched-off mechanism that the oracle must catch.

Ruled out: taking returned amounts at face value; they are capped by what was lent.

--- /dev/null
+++ b/crates/rhubarblanding_request/tests/retry_bound/main.rs
@@ -0,0 +1,58 @@
+//! Retry bound over whole call trees, with lost, duplicated and reordered answers, repeats by
+//! backend servers, and missing and forged tokens.
+
+mod model;
+#[path = "../support/mod.rs"]
+mod support;
+mod world;
+
+use googletest::prelude::*;
+use model::{Fault, TreeTest};
+use support::fuzz;
+
+/// Seed of every run in this file.
+const SEED: u64 = 4_001;
+/// Transitions of a case.
+const STEPS: usize = 400;
+/// Allowance of a root request unless its service says otherwise.
+const ALLOWANCE_DEFAULT: usize = 3;
+
+#[test]
+fn retries_of_a_tree_stay_within_the_allowance_of_its_root() {
+    let outcome = fuzz::<TreeTest<{ Fault::NONE }>>(SEED, STEPS, true);
+    assert_that!(outcome, ok(anything()));
+    // The run says something only if it came to the corners.
+    assert_that!(world::REACHED.depth(), eq(world::DEPTH_MAX));
+    assert_that!(world::REACHED.fan_out(), eq(world::FAN_OUT_MAX));
+    assert_that!(world::REACHED.used_up(), ge(ALLOWANCE_DEFAULT));
+}
+
+fn oracle_catches<const FAULT: u8>(violated: &str) {
+    let outcome = fuzz::<TreeTest<FAULT>>(SEED, STEPS, false);
+    assert_that!(outcome, err(contains_substring(violated)));
+}
+
+rhubarblanding_core::cases! {
+    oracle_catches::<{ Fault::LENT_NOT_DEDUCTED }>;
+    oracle_catches_allowance_that_is_copied: ("retries of root");
+}
+
+rhubarblanding_core::cases! {
+    oracle_catches::<{ Fault::REPEATS_NOT_CHARGED }>;
+    oracle_catches_repeats_that_are_free: ("retries of root");
+}
+
+rhubarblanding_core::cases! {
+    oracle_catches::<{ Fault::RETRY_NOT_SPENT }>;
+    oracle_catches_retries_that_are_not_spent: ("retries of root");
+}
+
+rhubarblanding_core::cases! {
+    oracle_catches::<{ Fault::DUPLICATE_DISPATCHES }>;
+    oracle_catches_duplicate_dispatches: ("dispatches of one call path");
+}
+
+rhubarblanding_core::cases! {
+    oracle_catches::<{ Fault::SPENT_IS_RETURNED }>;
+    oracle_catches_a_peer_that_returns_what_it_spent: ("retries of root");
+}
