Add the TCP relay and the process harness

A connection that goes silent while new ones work can't be had from a socket option; the relay keeps both halves open and passes nothing. The harness holds each child by its id and ends it when dropped. Signals go through the kill program, since the workspace forbids unsafe code and has no signal crate. Ports are taken while all listeners of a cluster are open, so that none is given twice.

--- a/tools/standins/src/backend/mod.rs
+++ b/tools/standins/src/backend/mod.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod control;
 mod query;
+mod remote;
 mod runs;
 mod service_time;
 mod settings;
@@ -31,6 +32,7 @@
 
 pub use announce::Announcement;
 pub use control::{Control, ControlChange, CounterValues, Counters};
+pub use remote::RemoteBackend;
 pub use runs::{Run, RunLog};
 pub use settings::{BackendSettings, CallPlan, CallSettings, DirectTarget, Distribution};
 
--- a/tools/standins/src/backend/settings.rs
+++ b/tools/standins/src/backend/settings.rs
@@ -95,7 +95,7 @@
 }
 
 /// What the backend server does with its downstream calls.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallSettings {
     /// Calls made for each request, one after the other.
     pub plan: Vec<CallPlan>,
@@ -125,7 +125,7 @@
 }
 
 /// Settings of one backend server.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct BackendSettings {
     /// Address to listen on; port 0 takes a free one.
     pub listen: SocketAddr,
--- a/tools/standins/src/command/backend.rs
+++ b/tools/standins/src/command/backend.rs
@@ -5,9 +5,8 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use error_stack::Report;
-use tokio::signal::unix::{SignalKind, signal};
 
-use super::{all, millis, one};
+use super::{all, millis, one, wait_for_end};
 use crate::backend::{
     Backend, BackendSettings, CallPlan, CallSettings, DirectTarget, Distribution,
 };
@@ -79,13 +78,54 @@
 /// Passes on what [`Backend::start`] reports.
 pub async fn run(matches: &ArgMatches) -> Result<(), Report<StandinError>> {
     let backend = Backend::start(settings(matches)).await?;
-    println!("listening {}", backend.address());
+    println!("backend listens on {}", backend.address());
     wait_for_end().await?;
     backend.stop().await;
     Ok(())
 }
 
-fn settings(matches: &ArgMatches) -> BackendSettings {
+/// Flags that give `cfg` to the subcommand.
+pub fn args(cfg: &BackendSettings) -> Vec<String> {
+    let mut args = vec!["backend".to_owned()];
+    let mut flag = |name: &str, value: String| args.extend([format!("--{name}"), value]);
+    flag("listen", cfg.listen.to_string());
+    flag("slots", cfg.slots.to_string());
+    flag("service-time-us", cfg.service_time.as_micros().to_string());
+    flag("distribution", cfg.distribution.to_string());
+    flag("cold-start-ms", cfg.cold_start.as_millis().to_string());
+    flag("cold-factor", cfg.cold_factor.to_string());
+    flag("seed", cfg.seed.to_string());
+    flag("call-retries", cfg.calls.retries.to_string());
+    flag("call-timeout-ms", cfg.calls.timeout.as_millis().to_string());
+    let optional = [
+        ("announced-slots", cfg.announced_slots),
+        ("shed-above", cfg.shed_above),
+        ("retry-budget-percent", cfg.calls.retry_budget_percent),
+    ];
+    for (name, value) in optional {
+        value
+            .into_iter()
+            .for_each(|value| flag(name, value.to_string()));
+    }
+    cfg.calls
+        .node
+        .into_iter()
+        .for_each(|node| flag("node", node.to_string()));
+    cfg.calls
+        .plan
+        .iter()
+        .for_each(|plan| flag("call", plan.to_string()));
+    for target in &cfg.calls.direct {
+        flag("direct", format!("{}={}", target.service, target.address));
+    }
+    if !cfg.check_deadline {
+        args.push("--ignore-deadline".to_owned());
+    }
+    args
+}
+
+/// Settings that the flags give.
+pub fn settings(matches: &ArgMatches) -> BackendSettings {
     let default = BackendSettings::default();
     let count = |name| one::<u64>(matches, name).map(|value| value as u32);
     BackendSettings {
@@ -110,14 +150,3 @@
         },
     }
 }
-
-async fn wait_for_end() -> Result<(), Report<StandinError>> {
-    let context = |_| Report::new(StandinError::Process);
-    let mut terminate = signal(SignalKind::terminate()).map_err(context)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(context)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
--- a/tools/standins/src/command/mod.rs
+++ b/tools/standins/src/command/mod.rs
@@ -2,11 +2,13 @@
 
 pub mod backend;
 pub mod load;
+pub mod relay;
 
 use std::time::Duration;
 
 use clap::{ArgMatches, Command};
 use error_stack::{Report, ResultExt};
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::error::StandinError;
 use crate::store;
@@ -19,6 +21,7 @@
         .subcommand(backend::command())
         .subcommand(load::command())
         .subcommand(store::command())
+        .subcommand(relay::command())
 }
 
 /// Runs the subcommand that `matches` names.
@@ -33,6 +36,7 @@
         Some(("store", matches)) => store::run(matches)
             .await
             .change_context(StandinError::Listen),
+        Some(("relay", matches)) => relay::run(matches).await,
         _ => Err(Report::new(StandinError::Settings).attach("no such subcommand")),
     }
 }
@@ -54,3 +58,15 @@
 pub(crate) fn millis(matches: &ArgMatches, name: &str) -> Option<Duration> {
     one(matches, name).map(Duration::from_millis)
 }
+
+/// Waits until the process is told to end.
+pub(crate) async fn wait_for_end() -> Result<(), Report<StandinError>> {
+    let context = |_| Report::new(StandinError::Process);
+    let mut terminate = signal(SignalKind::terminate()).map_err(context)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(context)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/tools/standins/src/lib.rs
+++ b/tools/standins/src/lib.rs
@@ -10,4 +10,6 @@
 pub mod headers;
 pub mod http;
 pub mod load;
+pub mod process;
+pub mod relay;
 pub mod store;
--- /dev/null
+++ b/tools/standins/src/process/mod.rs
@@ -0,0 +1,15 @@
+//! Real processes for tests and measurements: nodes and stand-ins on free loopback ports.
+
+mod child;
+mod cluster;
+mod host;
+mod operator;
+mod ports;
+mod programs;
+
+pub use child::{ChildProcess, Signal};
+pub use cluster::{Cluster, ClusterSettings, ServiceSettings, wait_until};
+pub use host::{Host, HostSettings, NodeAddresses};
+pub use operator::{Operator, TicketAnswer};
+pub use ports::free_addresses;
+pub use programs::Programs;
