Add the measuring tool with its baselines

Cases overload, recovery, latency and drain run on real processes. Each compares nodes with two baselines in the same run: backend servers that call each other directly and repeat failed calls at every layer, and the same with a fixed limit and a retry budget. A client gives up an attempt after 500 ms and repeats it at once, up to three tries within 1.5 s.

Weighted goodput alone has its peak at the greatest overload, since the worthy requests then fill the capacity. So it is compared with the greatest worth that as many completions as at the peak can have, and the number of completions with its own peak.

--- a/tools/measure/src/main.rs
+++ b/tools/measure/src/main.rs
@@ -1,3 +1,7 @@
-//! Measurements of goodput, recovery, latency and control cost.
+//! The `rhubarblanding_measure` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    rhubarblanding_measure::command::main()
+}
--- a/tools/standins/src/backend/calls.rs
+++ b/tools/standins/src/backend/calls.rs
@@ -53,6 +53,7 @@
 /// The request on whose behalf downstream calls are made.
 #[derive(Clone, Debug)]
 pub struct Origin<'a> {
+    method: &'a Method,
     request_id: &'a str,
     token: Option<&'a str>,
     key: Option<IdempotencyKey>,
@@ -60,11 +61,17 @@
 }
 
 impl<'a> Origin<'a> {
-    /// Origin with the header fields of a request that arrived at `arrived`.
-    pub fn new(headers: &'a HeaderMap, request_id: &'a str, arrived: Instant) -> Self {
+    /// Origin with the method and header fields of a request that arrived at `arrived`.
+    pub fn new(
+        method: &'a Method,
+        headers: &'a HeaderMap,
+        request_id: &'a str,
+        arrived: Instant,
+    ) -> Self {
         let key = header_text(headers, headers::IDEMPOTENCY_KEY);
         let limit_ms = header_number(headers, headers::DEADLINE_MS);
         Self {
+            method,
             request_id,
             token: header_text(headers, headers::TOKEN),
             key: key.and_then(|raw| IdempotencyKey::try_from(raw).ok()),
@@ -178,8 +185,9 @@
         request_id: &str,
         uri: String,
     ) -> Result<Request<Full<Bytes>>, http::Error> {
+        let method = plan.method.as_ref().unwrap_or(origin.method);
         let mut builder = Request::builder()
-            .method(plan.method.clone())
+            .method(method.clone())
             .uri(uri)
             .header(headers::REQUEST_ID, request_id);
         if let Some(token) = origin.token {
@@ -189,7 +197,7 @@
             let left = deadline.saturating_duration_since(Instant::now());
             builder = builder.header(headers::DEADLINE_MS, left.as_millis() as u64);
         }
-        if let Some(key) = origin.key_at(index).filter(|_| plan.method != Method::GET) {
+        if let Some(key) = origin.key_at(index).filter(|_| method != Method::GET) {
             builder = builder.header(headers::IDEMPOTENCY_KEY, key.to_string());
         }
         builder.body(Full::default())
--- a/tools/standins/src/backend/settings.rs
+++ b/tools/standins/src/backend/settings.rs
@@ -32,8 +32,8 @@
 /// One downstream call that a backend server makes for each request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallPlan {
-    /// Method of the call.
-    pub method: Method,
+    /// Method of the call; without one, that of the request that causes the call.
+    pub method: Option<Method>,
     /// Service that is called.
     pub service: ServiceName,
     /// Path and query of the call, from the first `/`.
@@ -43,11 +43,12 @@
 impl FromStr for CallPlan {
     type Err = Report<StandinError>;
 
-    /// Reads `service:/path` or `METHOD service:/path`.
+    /// Reads `service:/path`, `METHOD service:/path` or `* service:/path`.
     fn from_str(raw: &str) -> Result<Self, Self::Err> {
         let invalid = || {
-            Report::new(StandinError::Settings)
-                .attach(format!("call `{raw}`: must read `[METHOD ]service:/path`"))
+            Report::new(StandinError::Settings).attach(format!(
+                "call `{raw}`: must read `[METHOD|* ]service:/path`"
+            ))
         };
         let (method, rest) = raw.split_once(' ').unwrap_or(("GET", raw));
         let (service, path) = rest.split_once(':').ok_or_else(invalid)?;
@@ -55,7 +56,10 @@
             return Err(invalid());
         }
         Ok(Self {
-            method: method.parse().map_err(|_| invalid())?,
+            method: match method {
+                "*" => None,
+                method => Some(method.parse().map_err(|_| invalid())?),
+            },
             service: ServiceName::try_from(service).map_err(|_| invalid())?,
             path: path.to_owned(),
         })
@@ -64,7 +68,8 @@
 
 impl fmt::Display for CallPlan {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {}:{}", self.method, self.service, self.path)
+        let method = self.method.as_ref().map_or("*", Method::as_str);
+        write!(f, "{method} {}:{}", self.service, self.path)
     }
 }
 
--- a/tools/standins/src/backend/work.rs
+++ b/tools/standins/src/backend/work.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::sync::OwnedSemaphorePermit;
@@ -91,7 +92,7 @@
         return not_run("the deadline passed before the start");
     }
     let job = begin(&shared, &parts.headers, &query, presence, slot);
-    run(shared, job, query, parts.headers, arrived).await
+    run(shared, job, query, &parts, arrived).await
 }
 
 fn begin(
@@ -120,7 +121,7 @@
     shared: Arc<Shared>,
     mut job: Job,
     query: WorkQuery,
-    headers: HeaderMap,
+    parts: &Parts,
     arrived: Instant,
 ) -> Response<AnswerBody> {
     if query.is_archive() {
@@ -130,7 +131,7 @@
     let mean = query.time.unwrap_or_else(|| shared.control().service_time);
     tokio::time::sleep(shared.service_times.draw(mean)).await;
     job.stop_work();
-    let origin = Origin::new(&headers, &job.request_id, arrived);
+    let origin = Origin::new(&parts.method, &parts.headers, &job.request_id, arrived);
     if let Err(failure) = shared.calls.call_all(&shared, &origin).await {
         job.fail();
         return failed_call(&failure);
--- a/tools/standins/src/load/client.rs
+++ b/tools/standins/src/load/client.rs
@@ -65,11 +65,11 @@
         identity: &Identity,
     ) -> Vec<Attempt> {
         let started = Instant::now();
-        let limit = kind.deadline.unwrap_or(cfg.timeout).min(cfg.timeout);
+        let limit = kind.deadline.unwrap_or(cfg.timeout * cfg.tries);
         let mut attempts = Vec::new();
         loop {
             let sent = Instant::now();
-            let left = limit.saturating_sub(started.elapsed());
+            let left = limit.saturating_sub(started.elapsed()).min(cfg.timeout);
             let received = tokio::time::timeout(left, self.attempt(cfg, kind, identity, left))
                 .await
                 .unwrap_or_else(|_| Ending::Timeout.into());
--- a/tools/standins/src/load/mod.rs
+++ b/tools/standins/src/load/mod.rs
@@ -19,7 +19,9 @@
 
 pub use arrivals::{Arrival, Arrivals};
 pub use client::{Caller, Identity};
-pub use report::{Attempt, Ending, KindReport, Outcome, Refused, Report, quantile_ms};
+pub use report::{
+    Attempt, Ending, KindReport, Outcome, Refused, Report, new_histogram, quantile_ms,
+};
 pub use settings::{LoadKind, LoadSettings, Phase, RetryMode, Route};
 
 use crate::error::StandinError;
--- a/tools/standins/src/load/report.rs
+++ b/tools/standins/src/load/report.rs
@@ -271,7 +271,8 @@
     latency.value_at_quantile(quantile) as f64 / 1_000.0
 }
 
-fn new_histogram() -> Histogram<u64> {
+/// Histogram of microseconds with three significant digits.
+pub fn new_histogram() -> Histogram<u64> {
     match Histogram::new_with_max(MAX_LATENCY_US, 3) {
         Ok(histogram) => histogram,
         Err(err) => unreachable!("the bounds are constant and valid: {err}"),
--- a/tools/standins/src/load/settings.rs
+++ b/tools/standins/src/load/settings.rs
@@ -62,7 +62,7 @@
     pub weight: f64,
     /// Whether requests carry an idempotency key.
     pub idempotency: Idempotency,
-    /// Time after which the caller has no more use for the answer.
+    /// Time after which the caller has no more use for the answer, over all attempts.
     pub deadline: Option<Duration>,
 }
 
--- a/tools/standins/src/process/mod.rs
+++ b/tools/standins/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod operator;
 mod ports;
 mod programs;
+mod ticket;
 
 pub use child::{ChildProcess, Signal};
 pub use cluster::{Cluster, ClusterSettings, ServiceSettings, wait_until};
@@ -13,3 +14,4 @@
 pub use operator::{Operator, TicketAnswer};
 pub use ports::free_addresses;
 pub use programs::Programs;
+pub use ticket::{TicketBackend, TicketFile, TicketKind, TicketService};
--- a/tools/standins/src/process/operator.rs
+++ b/tools/standins/src/process/operator.rs
@@ -5,8 +5,10 @@
 use error_stack::{Report, ResultExt};
 use http::{Method, StatusCode};
 use rhubarblanding_core::collections::HashMap;
+use serde::Serialize;
 use serde_json::Value;
 
+use super::ticket::TicketFile;
 use crate::error::StandinError;
 use crate::http::{HttpClient, client, get_json, send_json};
 
@@ -19,6 +21,10 @@
     pub text: String,
 }
 
+/// Request to drain, which has no content.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct DrainRequest {}
+
 /// Client of a node's operator face.
 #[derive(Clone, Debug)]
 pub struct Operator {
@@ -58,7 +64,7 @@
     /// # Errors
     ///
     /// Fails if the node does not answer; a refused ticket is an answer.
-    pub async fn submit(&self, ticket: &Value) -> Result<TicketAnswer, Report<StandinError>> {
+    pub async fn submit(&self, ticket: &TicketFile) -> Result<TicketAnswer, Report<StandinError>> {
         self.post("/v1/tickets", ticket).await
     }
 
@@ -68,11 +74,14 @@
     ///
     /// Fails if the node does not answer.
     pub async fn drain(&self) -> Result<TicketAnswer, Report<StandinError>> {
-        self.post("/v1/drain", &Value::Object(Default::default()))
-            .await
+        self.post("/v1/drain", &DrainRequest {}).await
     }
 
-    async fn post(&self, path: &str, body: &Value) -> Result<TicketAnswer, Report<StandinError>> {
+    async fn post(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<TicketAnswer, Report<StandinError>> {
         let sent = send_json(&self.client, Method::POST, self.address, path, body);
         let (status, body) = sent.await.attach_with(|| path.to_owned())?;
         let text = String::from_utf8_lossy(&body).into_owned();
--- a/tools/standins/tests/process.rs
+++ b/tools/standins/tests/process.rs
@@ -62,7 +62,10 @@
         check_deadline: false,
         seed: 42,
         calls: CallSettings {
-            plan: vec!["POST egresos:/slots".parse().unwrap()],
+            plan: vec![
+                "POST egresos:/slots".parse().unwrap(),
+                "* a:/b".parse().unwrap(),
+            ],
             node: Some("127.0.0.1:9".parse().unwrap()),
             direct: vec!["egresos=127.0.0.1:10".parse().unwrap()],
             retries: 2,
