--- a/crates/rhubarblanding_tickets/src/document/mod.rs
+++ b/crates/rhubarblanding_tickets/src/document/mod.rs
@@ -10,7 +10,8 @@
 use rhubarblanding_core::ids::{DocVersion, TicketNumber};
 use rhubarblanding_core::names::ServiceName;
 use rhubarblanding_core::time::UnixMillis;
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize};
 use uuid::Uuid;
 
 pub use decide::{Decision, apply, decide};
@@ -68,6 +69,7 @@
 /// Everything that accepted tickets have put in force.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
+    #[serde(deserialize_with = "known_format")]
     format: u32,
     version: DocVersion,
     services: BTreeMap<ServiceName, ServiceEntry>,
@@ -108,6 +110,14 @@
 
 impl std::error::Error for InvalidDocument {}
 
+/// Refuses a format that this release does not know, whatever way the document comes.
+fn known_format<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+    match u32::deserialize(deserializer)? {
+        FORMAT => Ok(FORMAT),
+        format => Err(D::Error::custom(InvalidDocument::UnknownFormat(format))),
+    }
+}
+
 #[derive(Deserialize)]
 struct FormatOnly {
     format: u32,
--- a/crates/rhubarblanding_tickets/src/operator/status.rs
+++ b/crates/rhubarblanding_tickets/src/operator/status.rs
@@ -6,7 +6,7 @@
 use rhubarblanding_core::names::{ServiceName, ZoneName};
 use rhubarblanding_core::target::{TargetInfo, TargetState};
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr, VariantNames};
 
 /// Answer to `GET /v1/status`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -74,6 +74,7 @@
     EnumIter,
     EnumString,
     IntoStaticStr,
+    VariantNames,
 )]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
@@ -90,6 +91,11 @@
     Trace,
 }
 
+impl LogLevel {
+    /// Names of the levels, gravest first.
+    pub const NAMES: &'static [&'static str] = <Self as VariantNames>::VARIANTS;
+}
+
 /// Body of `PUT /v1/log-level`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/rhubarblanding_tickets/src/ticket/check.rs
+++ b/crates/rhubarblanding_tickets/src/ticket/check.rs
@@ -13,9 +13,6 @@
 use super::{Ticket, limits};
 use crate::spec::{BackendSpec, KindLimits, KindSpec, MethodPattern, PathPattern, ServiceSpec};
 
-const IMPORTANCES: &[&str] = &["background", "normal", "high", "critical"];
-const IDEMPOTENCIES: &[&str] = &["idempotent", "non_idempotent"];
-
 /// Checks a whole ticket.
 pub(super) fn check_ticket(raw: RawTicket) -> Result<Ticket, InvalidTicket> {
     let mut check = Check::default();
@@ -222,7 +219,7 @@
         let idempotency = self.take(
             format_args!("{path}.idempotency"),
             raw.idempotency.parse::<Idempotency>(),
-            |_| FieldReason::NotOneOf(IDEMPOTENCIES),
+            |_| FieldReason::not_one_of::<Idempotency>(),
         );
         let importance = self.importance(format!("{path}.importance"), raw.importance.as_deref());
         let weight = self.small(
@@ -253,7 +250,7 @@
 
     fn importance(&mut self, path: String, raw: Option<&str>) -> Option<Importance> {
         let parsed = raw.map_or(Ok(Importance::default()), str::parse);
-        self.take(path, parsed, |_| FieldReason::NotOneOf(IMPORTANCES))
+        self.take(path, parsed, |_| FieldReason::not_one_of::<Importance>())
     }
 
     fn kind_limits(&mut self, path: &str, raw: &RawKind) -> KindLimits {
--- a/crates/rhubarblanding_tickets/src/ticket/error.rs
+++ b/crates/rhubarblanding_tickets/src/ticket/error.rs
@@ -5,6 +5,7 @@
 
 use rhubarblanding_core::names::InvalidName;
 use serde::{Deserialize, Serialize};
+use strum::IntoEnumIterator;
 
 use crate::spec::InvalidPattern;
 
@@ -20,7 +21,7 @@
     /// It lies outside the range allowed.
     Range(RangeInclusive<u64>),
     /// It is none of the values allowed.
-    NotOneOf(&'static [&'static str]),
+    NotOneOf(Vec<&'static str>),
     /// There are more entries than allowed.
     TooMany(usize),
     /// The name is used twice.
@@ -35,6 +36,13 @@
     NothingTouched,
 }
 
+impl FieldReason {
+    /// The reason that lists the names of `T`.
+    pub(super) fn not_one_of<T: IntoEnumIterator + Into<&'static str>>() -> Self {
+        Self::NotOneOf(T::iter().map(Into::into).collect())
+    }
+}
+
 impl fmt::Display for FieldReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- /dev/null
+++ b/src/cli/exit.rs
@@ -0,0 +1,25 @@
+//! Exit codes of the command line.
+
+use std::process::ExitCode;
+
+/// How a subcommand ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Exit {
+    /// Done: the ticket is accepted, the files are valid, the answer is printed.
+    Ok = 0,
+    /// The ticket is refused and never in force by this submission.
+    Refused = 1,
+    /// The arguments or a file are not valid.
+    BadInput = 2,
+    /// The outcome is not yet known, or the ticket is not yet in force at every node asked.
+    NotYetKnown = 3,
+    /// No node that was asked gave an answer.
+    Unreachable = 4,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,3 @@
 //! Umbrella crate of rhubarblanding.
+
+pub mod cli;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,17 +2,12 @@
 
 use std::process::ExitCode;
 
-use clap::Command;
+use rhubarblanding::cli::Cli;
 
 mod node_command;
 
 fn main() -> ExitCode {
-    let matches = Command::new("rhubarblanding")
-        .subcommand_required(true)
-        .subcommand(node_command::command())
-        .get_matches();
-    match matches.subcommand() {
-        Some(("node", matches)) => node_command::run(matches),
-        _ => ExitCode::FAILURE,
-    }
+    Cli::new()
+        .with_daemon(node_command::command(), node_command::run)
+        .run(std::env::args_os())
 }
