Notice silent connections to the key-value service within seconds

A watch waited 30 s at the service, so a connection that had gone silent hid an accepted ticket for 31.0 s (loop_notices_a_silent_connection_in_time, failing); it must be in force in 6 s. Of the idle connections at most one is kept: with 100, a second call failed after three had gone silent (silent_connections_cost_one_call, failing). TCP keep-alive was ruled out, since something between the two ends may answer it.

The loop also paced itself only after failures: a service that does not wait was called 124 times in 200 ms, now at most 20 times.

--- a/crates/rhubarblanding_store/src/client/transport.rs
+++ b/crates/rhubarblanding_store/src/client/transport.rs
@@ -24,6 +24,10 @@
 /// Time for which an idle connection is kept.
 const POOL_IDLE: Duration = Duration::from_secs(30);
 
+/// Idle connections kept. An idle connection may have gone silent, and each such one costs a
+/// call its whole time limit, so there is at most one.
+const POOL_MAX_IDLE: usize = 1;
+
 /// Whether a call may change the service's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Effect {
@@ -105,6 +109,7 @@
         let http = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(POOL_IDLE)
+            .pool_max_idle_per_host(POOL_MAX_IDLE)
             .build(connector);
         Self { http, settings }
     }
--- a/crates/rhubarblanding_store/src/watch/mod.rs
+++ b/crates/rhubarblanding_store/src/watch/mod.rs
@@ -4,6 +4,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::time::Instant;
 
 use crate::backoff::{Backoff, BackoffSettings};
 use crate::client::StoreClient;
@@ -13,7 +14,8 @@
 /// Settings of a [`WatchLoop`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WatchSettings {
-    /// Time that one watch waits at the service. Each watch counts as one call there.
+    /// Time that one watch waits at the service. Each watch counts as one call there. A
+    /// connection that goes silent is noticed after this time and the call's time limit.
     pub wait: Duration,
     /// Delays between attempts while the service fails.
     pub backoff: BackoffSettings,
@@ -22,7 +24,7 @@
 impl Default for WatchSettings {
     fn default() -> Self {
         Self {
-            wait: Duration::from_secs(30),
+            wait: Duration::from_secs(2),
             backoff: BackoffSettings::default(),
         }
     }
@@ -74,6 +76,7 @@
     /// It may be dropped at any point and called again without missing the newest value.
     pub async fn next(&mut self) -> WatchEvent {
         loop {
+            let began = Instant::now();
             let watched = self
                 .client
                 .watch(&self.key, self.after, self.settings.wait)
@@ -82,16 +85,26 @@
                 Ok(watched) => {
                     self.note_answer();
                     if let Some(event) = self.advance(watched) {
+                        self.backoff.reset();
                         return event;
                     }
                 }
-                Err(report) => {
-                    self.note_failure(&report.current_context().to_string());
-                    let delay = self.backoff.next_delay(&mut self.rng);
-                    tokio::time::sleep(delay).await;
-                }
+                Err(report) => self.note_failure(&report.current_context().to_string()),
             }
+            self.pause(began).await;
+        }
+    }
+
+    /// Waits before the next call, unless the service itself has waited. A service that fails
+    /// or answers at once without news must not be called in a tight loop.
+    async fn pause(&mut self, began: Instant) {
+        let waited = (self.settings.wait / 2).max(self.settings.backoff.first);
+        if self.reachable && began.elapsed() >= waited {
+            self.backoff.reset();
+            return;
         }
+        let delay = self.backoff.next_delay(&mut self.rng);
+        tokio::time::sleep(delay).await;
     }
 
     /// Accepts only what lies above the newest revision seen.
@@ -109,7 +122,6 @@
     }
 
     fn note_answer(&mut self) {
-        self.backoff.reset();
         if !self.reachable {
             self.reachable = true;
             log::info!("watch of {}: the key-value service answers again", self.key);
--- a/crates/rhubarblanding_store/tests/client.rs
+++ b/crates/rhubarblanding_store/tests/client.rs
@@ -265,3 +265,18 @@
         .await;
     assert_that!(error_of(put), eq(StoreError::LeaseLapsed));
 }
+
+#[tokio::test]
+async fn silent_connections_cost_one_call() {
+    let (server, client) = start().await;
+    create(&client, "one").await;
+    let key = key();
+    let reads = tokio::join!(client.get(&key), client.get(&key), client.get(&key));
+    assert_that!(reads, (ok(anything()), ok(anything()), ok(anything())));
+    server.silence_connections();
+    assert_that!(
+        error_of(client.get(&key).await),
+        eq(StoreError::Unavailable)
+    );
+    assert_that!(client.get(&key).await, ok(some(anything())));
+}
--- a/crates/rhubarblanding_store/tests/watch_loop.rs
+++ b/crates/rhubarblanding_store/tests/watch_loop.rs
@@ -1,7 +1,9 @@
 //! The watch loop through outages, and its back-off.
 
+#![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
+
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use rand::SeedableRng;
@@ -29,22 +31,42 @@
     assert_that!(backoff.next_delay(&mut rng), le(SETTINGS.first));
 }
 
-#[tokio::test]
-async fn loop_survives_an_outage_and_misses_no_newest_value() {
+async fn follow(settings: WatchSettings) -> (StoreServer, StoreClient, WatchLoop) {
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
     let server = StoreServer::start(any_port).await.expect("a free port");
     let client = StoreClient::new(StoreSettings {
         addr: server.addr(),
         ..StoreSettings::default()
     });
-    let key = Key::from_static("followed");
-    let settings = WatchSettings {
+    let watch = WatchLoop::new(client.clone(), key(), settings, 1);
+    (server, client, watch)
+}
+
+fn key() -> Key {
+    Key::from_static("followed")
+}
+
+async fn store(client: &StoreClient, expected: u64, value: &'static str) {
+    let key = key();
+    let put = client.compare_and_swap(&key, Revision(expected), value.into());
+    assert_that!(put.await, ok(matches_pattern!(CasOutcome::Stored(_))));
+}
+
+fn value_of(event: WatchEvent) -> String {
+    match event {
+        WatchEvent::Changed(new) => String::from_utf8_lossy(&new.value).into_owned(),
+        WatchEvent::Removed(_) => String::new(),
+    }
+}
+
+#[tokio::test]
+async fn loop_survives_an_outage_and_misses_no_newest_value() {
+    let (server, client, mut watch) = follow(WatchSettings {
         wait: Duration::from_millis(500),
         backoff: SETTINGS,
-    };
-    let mut watch = WatchLoop::new(client.clone(), key.clone(), settings, 1);
-    let put = client.compare_and_swap(&key, Revision::ABSENT, "one".into());
-    assert_that!(put.await, ok(eq(&CasOutcome::Stored(Revision(1)))));
+    })
+    .await;
+    store(&client, 0, "one").await;
     assert_that!(value_of(watch.next().await).as_str(), eq("one"));
 
     server.set_faults(Faults {
@@ -57,15 +79,42 @@
     assert_that!(server.calls().watch, le(20));
 
     server.set_faults(Faults::default());
-    let put = client.compare_and_swap(&key, Revision(1), "two".into());
-    assert_that!(put.await, ok(anything()));
+    store(&client, 1, "two").await;
     assert_that!(value_of(watch.next().await).as_str(), eq("two"));
     assert_that!(watch.is_reachable(), eq(true));
 }
 
-fn value_of(event: WatchEvent) -> String {
-    match event {
-        WatchEvent::Changed(new) => String::from_utf8_lossy(&new.value).into_owned(),
-        WatchEvent::Removed(_) => String::new(),
-    }
+/// With its default settings the loop gets a change within the time in which an accepted ticket
+/// must be in force, though its waiting connection has gone silent.
+#[tokio::test]
+async fn loop_notices_a_silent_connection_in_time() {
+    let (server, client, mut watch) = follow(WatchSettings::default()).await;
+    store(&client, 0, "one").await;
+    assert_that!(value_of(watch.next().await).as_str(), eq("one"));
+    let waiting = tokio::spawn(async move { value_of(watch.next().await) });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    server.silence_connections();
+    let began = Instant::now();
+    let fresh = StoreClient::new(StoreSettings {
+        addr: server.addr(),
+        ..StoreSettings::default()
+    });
+    store(&fresh, 1, "two").await;
+    assert_that!(waiting.await.expect("no panic").as_str(), eq("two"));
+    assert_that!(began.elapsed(), lt(Duration::from_secs(4)));
+}
+
+/// A service that does not wait is not called in a tight loop.
+#[tokio::test]
+async fn loop_paces_itself_when_the_service_does_not_wait() {
+    let (server, client, mut watch) = follow(WatchSettings {
+        wait: Duration::ZERO,
+        backoff: SETTINGS,
+    })
+    .await;
+    store(&client, 0, "one").await;
+    watch.next().await;
+    let waited = tokio::time::timeout(Duration::from_millis(200), watch.next()).await;
+    assert_that!(waited, err(anything()));
+    assert_that!(server.calls().watch, le(20));
 }
--- a/tools/standins/src/store/mod.rs
+++ b/tools/standins/src/store/mod.rs
@@ -1,7 +1,8 @@
 //! Stand-in for the platform's key-value service. It keeps everything in memory.
 //!
 //! [`StoreServer`] runs inside a test; [`command`] and [`run`] make a program of it. Faults are
-//! switched by [`StoreServer::set_faults`] or `POST /v1/faults`, and `GET /v1/calls` counts calls.
+//! switched by [`StoreServer::set_faults`] or `POST /v1/faults`, open connections go silent by
+//! [`StoreServer::silence_connections`] or `POST /v1/silence`, and `GET /v1/calls` counts calls.
 
 mod faults;
 mod kv;
--- a/tools/standins/src/store/routes.rs
+++ b/tools/standins/src/store/routes.rs
@@ -73,6 +73,10 @@
     let path = head.uri.path();
     match (&head.method, path) {
         (&Method::POST, "/v1/faults") => return Ok(set_faults(&shared, &body)),
+        (&Method::POST, "/v1/silence") => {
+            shared.silence_connections();
+            return Ok(status(StatusCode::NO_CONTENT));
+        }
         (&Method::GET, "/v1/faults") => return Ok(json(StatusCode::OK, &shared.faults())),
         (&Method::GET, "/v1/calls") => return Ok(json(StatusCode::OK, &shared.calls())),
         _ => {}
--- a/tools/standins/src/store/server.rs
+++ b/tools/standins/src/store/server.rs
@@ -1,6 +1,7 @@
 //! Listener and shared state of the service.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,7 @@
 use hyper_util::server::conn::auto;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 use super::faults::{Calls, Faults};
 use super::kv::Kv;
@@ -29,6 +30,10 @@
     faults: Mutex<Faults>,
     calls: Mutex<Calls>,
     changes: watch::Sender<()>,
+    /// Connections accepted so far.
+    accepted: AtomicU64,
+    /// Connections up to this number are silent.
+    silent_up_to: AtomicU64,
 }
 
 impl Shared {
@@ -38,6 +43,8 @@
             faults: Mutex::default(),
             calls: Mutex::default(),
             changes: watch::Sender::new(()),
+            accepted: AtomicU64::new(0),
+            silent_up_to: AtomicU64::new(0),
         }
     }
 
@@ -69,6 +76,19 @@
         result
     }
 
+    /// Makes every connection that is open at present silent for good.
+    pub(super) fn silence_connections(&self) {
+        let accepted = self.accepted.load(Ordering::Relaxed);
+        self.silent_up_to.store(accepted, Ordering::Relaxed);
+    }
+
+    /// Does not return if the connection is silent.
+    async fn pass(&self, connection: u64) {
+        if connection <= self.silent_up_to.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     pub(super) fn subscribe(&self) -> watch::Receiver<()> {
         self.changes.subscribe()
     }
@@ -145,6 +165,11 @@
         self.shared.set_faults(faults);
     }
 
+    /// Makes every connection that is open at present silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        self.shared.silence_connections();
+    }
+
     /// Counts of calls so far.
     pub fn calls(&self) -> Calls {
         self.shared.calls()
@@ -168,21 +193,30 @@
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    // Connections end with this task.
+    let mut connections = JoinSet::new();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve(stream, shared.clone()));
+                connections.spawn(serve(stream, shared.clone()));
             }
             Err(_) => tokio::time::sleep(EXPIRY_PERIOD).await,
         }
+        while connections.try_join_next().is_some() {}
     }
 }
 
 async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    let connection = shared.accepted.fetch_add(1, Ordering::Relaxed) + 1;
     let service = service_fn(move |req| {
-        // A task of its own applies a slow write also after its caller has given up.
-        let answer = tokio::spawn(routes::handle(shared.clone(), req));
-        async move { answer.await.unwrap_or(Err(Dropped)) }
+        let shared = shared.clone();
+        async move {
+            shared.pass(connection).await;
+            // A task of its own applies a slow write also after its caller has given up.
+            let answer = tokio::spawn(routes::handle(shared.clone(), req)).await;
+            shared.pass(connection).await;
+            answer.unwrap_or(Err(Dropped))
+        }
     });
     // Errors are dropped connections, which the switches ask for.
     let _ = auto::Builder::new(TokioExecutor::new())
