--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,8 @@
 //! This crate re-exports the crates of the workspace; each can be used alone. The decisions are
 //! state machines without I/O, the [`node`] crate runs them in a daemon.
 
+pub mod cli;
+
 pub use rhubarblanding_admission as admission;
 pub use rhubarblanding_core as core;
 pub use rhubarblanding_membership as membership;
