--- a/crates/rhubarblanding_node/src/process/node.rs
+++ b/crates/rhubarblanding_node/src/process/node.rs
@@ -27,6 +27,11 @@
 /// Time for which a draining node goes on to serve its peers, so that they learn of it.
 const DRAIN_NOTICE: Duration = Duration::from_millis(500);
 
+/// Longest wait of a stop for a home table without this node.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(12);
+/// Time between two looks at the home table during a stop.
+const HAND_OVER_POLL: Duration = Duration::from_millis(100);
+
 /// Why a node could not be started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartError {
@@ -187,6 +192,7 @@
         stage.send_replace(Stage::CallersClosed);
         while serving.callers.join_next().await.is_some() {}
         node.gate.idle().await;
+        hand_over(node).await;
         node.backend_state(TargetState::Stopped, None);
         tokio::time::sleep(DRAIN_NOTICE).await;
         stage.send_replace(Stage::AllClosed);
@@ -203,6 +209,17 @@
     lifecycle.stop();
 }
 
+/// Waits until other members decide on the keys that are minted from now on.
+///
+/// Without a change of the home table, for example while the platform's service is down, the wait
+/// ends at [`HAND_OVER_LIMIT`]; what is recorded here is recorded at the copies as well.
+async fn hand_over(node: &Arc<Shared>) {
+    let give_up = node.clock.now() + HAND_OVER_LIMIT;
+    while node.once.is_needed() && node.clock.now() < give_up {
+        tokio::time::sleep(HAND_OVER_POLL).await;
+    }
+}
+
 fn spawn_loops(node: &Arc<Shared>, inboxes: Inboxes, reporter: Option<Reporter>) -> JoinSet<()> {
     let mut loops = JoinSet::new();
     let (watch_tx, watch_rx) = watch::channel(false);
--- a/crates/rhubarblanding_node/src/request/dispatch.rs
+++ b/crates/rhubarblanding_node/src/request/dispatch.rs
@@ -22,6 +22,8 @@
 const ATTEMPT_TIME_MIN: Duration = Duration::from_millis(2);
 /// Time between two lookups of a service.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two lookups of a service whose targets are known, so that they are kept.
+const KEEP_INTERVAL: Duration = Duration::from_secs(60);
 /// Longest wait for the first target of a service.
 const LOOKUP_WAIT: Duration = Duration::from_millis(800);
 
@@ -62,6 +64,7 @@
     ///
     /// The refusal for the caller.
     pub async fn run(self) -> Result<Response<Body>, Refusal> {
+        self.look_up(self.node.clock.now(), KEEP_INTERVAL);
         match self.call.key {
             Some(key) => keyed::run(&self, key).await,
             None => self.run_unkeyed().await,
@@ -130,15 +133,15 @@
             if now >= give_up {
                 return Err(Refusal::new(ErrorKind::NoTarget));
             }
-            self.look_up(now);
+            self.look_up(now, LOOKUP_INTERVAL);
             let wait = now.until(give_up).min(LOOKUP_INTERVAL);
             let _ = tokio::time::timeout(wait, changed).await;
         }
     }
 
-    /// Asks the membership for the targets of the service, unless it was asked just now.
-    pub fn look_up(&self, now: MonoTime) {
-        if self.service.lookup_due(now, LOOKUP_INTERVAL) {
+    /// Asks the membership for the targets of the service, unless it was asked within `interval`.
+    fn look_up(&self, now: MonoTime, interval: Duration) {
+        if self.service.lookup_due(now, interval) {
             self.node.look_up(self.service.name());
         }
     }
--- a/crates/rhubarblanding_node/src/request/once.rs
+++ b/crates/rhubarblanding_node/src/request/once.rs
@@ -86,6 +86,16 @@
         lock(&self.state).ledger.table().map(HomeTable::version)
     }
 
+    /// Whether keys that are minted now are decided on by this node together with others.
+    pub fn is_needed(&self) -> bool {
+        let now = self.clock.wall();
+        let state = lock(&self.state);
+        let epoch = state.ledger.table().and_then(|t| t.active_epoch_at(now));
+        epoch.is_some_and(|epoch| {
+            epoch.members.len() > 1 && epoch.member(state.ledger.member().id).is_some()
+        })
+    }
+
     /// Greatest size in bytes of an answer that is kept.
     pub fn max_answer_bytes(&self) -> usize {
         self.max_answer_bytes
--- a/examples/litoral.rs
+++ b/examples/litoral.rs
@@ -21,7 +21,9 @@
 use rhubarblanding_standins::load::{
     Load, LoadKind, LoadSettings, Phase, Report, RetryMode, Route, quantile_ms,
 };
-use rhubarblanding_standins::process::{Operator, TicketFile, TicketKind, free_addresses};
+use rhubarblanding_standins::process::{
+    Operator, Submission, TicketFile, TicketKind, free_addresses,
+};
 use rhubarblanding_standins::store::StoreServer;
 
 /// Availability zones.
@@ -193,7 +195,8 @@
 /// Submits the ticket and waits until every node has it and every service has a home table.
 async fn make_ready(system: &System) -> Outcome<()> {
     let operator = Operator::new(system.hosts[0].operator);
-    let answer = operator.submit(&ticket()).await?;
+    let submission = Submission::new(ticket());
+    let answer = operator.submit(&submission).await?;
     println!("ticket 1: {}", answer.text);
     let ready = |host: &Host| {
         let shared = host.node.shared();
@@ -307,7 +310,10 @@
     print_counters(&system);
     let doubled = doubled_keys(&system);
     println!("\nidempotency keys that ran more than once: {doubled}");
-    println!("answers that were not whole or not the caller's own: {}", report.wrong_answers());
+    println!(
+        "answers that were not whole or not the caller's own: {}",
+        report.wrong_answers()
+    );
     println!("store calls: {:?}", system.store.calls());
     for host in system.hosts {
         host.node.stop().await;
