Decide each idempotency key by two of three members

Cause: with home and copy alone, the loss of a copy blocked every key placed on it until its caller minted a new one in a later epoch, because a repeat carries the mint time of the lost epoch.

Each key has a witness too, in a third availability zone where there is one. Home and copy both ask for votes with the same message, and each of the three votes for one of them until that try is released. Two runs would need two majorities without a common member. A member that voted asks the runner what became of the try when the key is repeated, so that a lost release no longer leaves the outcome unknown.

Ruled out: letting any member of another zone be a witness. The home would then need the votes of all of them to bypass its copy.

--- a/crates/rhubarblanding_once/src/keeper/io.rs
+++ b/crates/rhubarblanding_once/src/keeper/io.rs
@@ -4,6 +4,7 @@
 
 use rhubarblanding_core::ids::TableVersion;
 
+use crate::safeguards::Safeguards;
 use crate::table::{AdoptionReply, HomeTable, Member, MemberId};
 
 /// Intervals of a [`TableKeeper`](super::TableKeeper).
@@ -21,17 +22,20 @@
     pub retry_interval: Duration,
     /// How long after their mint time keys are answered from records.
     pub retention: Duration,
+    /// Mechanisms that can be switched off to show that a test would notice.
+    pub safeguards: Safeguards,
 }
 
 impl Default for KeeperSettings {
     fn default() -> Self {
         Self {
-            lead: Duration::from_secs(5),
+            lead: Duration::from_secs(4),
             abort_margin: Duration::from_secs(1),
             proposal_interval: Duration::from_secs(10),
             proposal_interval_max: Duration::from_secs(120),
             retry_interval: Duration::from_secs(1),
             retention: Duration::from_secs(3600),
+            safeguards: Safeguards::default(),
         }
     }
 }
--- a/crates/rhubarblanding_once/src/keeper/propose.rs
+++ b/crates/rhubarblanding_once/src/keeper/propose.rs
@@ -80,7 +80,8 @@
         out: &mut Vec<KeeperOutput>,
     ) {
         let closed = |id| self.adopted.contains(&id) || self.stopped.contains(&id);
-        if table.newest_active().is_closed_by(closed) {
+        let acks = self.settings.safeguards.adoption_acks;
+        if !acks || table.newest_active().is_closed_by(closed) {
             self.withdrawn = 0;
             let activated = table.activate(self.expired_before(now));
             self.swap(Some(table), activated, out);
--- a/crates/rhubarblanding_once/src/ledger/active.rs
+++ b/crates/rhubarblanding_once/src/ledger/active.rs
@@ -10,16 +10,14 @@
 use super::{AttemptRequest, CallerId, Ledger, Output};
 use crate::answer::RecordedAnswer;
 use crate::message::{PeerMessage, RunId};
-use crate::table::Placement;
+use crate::table::{MemberId, Placement};
 use crate::time::Now;
 
 /// What a try waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
-    /// As home: for the copy to acknowledge the key.
-    Preparing,
-    /// As copy: for a member to confirm that the epoch still decides on the key.
-    AwaitingWitness,
+    /// For the vote of another member.
+    Deciding,
     /// For the backend server.
     Running,
 }
@@ -31,6 +29,12 @@
     pub run: RunId,
     pub stage: Stage,
     pub placement: Placement,
+    /// Members that were asked for their vote.
+    pub asked: Vec<MemberId>,
+    /// Members that cannot decide on the key.
+    pub refused_by: Vec<MemberId>,
+    /// Why the try is given up if no vote comes.
+    pub failure: ErrorKind,
     /// Callers that wait, the first of which provides the request.
     pub waiters: Vec<CallerId>,
     /// Caller whose request was sent to the backend server.
@@ -41,8 +45,10 @@
 /// What a ledger is reminded of.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Timer {
-    /// A try waited too long for another member.
+    /// A try waited too long for votes.
     Decision(AttemptKey),
+    /// The copy has not voted yet.
+    Fallback(AttemptKey),
     /// A recorded answer was not acknowledged.
     Recorded(IdempotencyKey),
 }
@@ -54,16 +60,18 @@
         now: Now,
         req: AttemptRequest,
         placement: Placement,
-        stage: Stage,
-    ) -> (AttemptKey, RunId) {
+    ) -> AttemptKey {
         self.note_mint(req.key);
         let run = self.next_run;
         self.next_run = RunId(run.0 + 1);
         let attempt = self.attempts.insert(Attempt {
             key: req.key,
             run,
-            stage,
+            stage: Stage::Deciding,
             placement,
+            asked: Vec::new(),
+            refused_by: Vec::new(),
+            failure: ErrorKind::HomeUnavailable,
             waiters: vec![req.caller],
             dispatched_for: None,
             timer: None,
@@ -78,7 +86,7 @@
             state: State::Active(attempt),
         };
         self.records.insert(req.key, record);
-        (attempt, run)
+        attempt
     }
 
     /// Adds a caller to a try.
@@ -147,14 +155,13 @@
         self.release(&attempt, out);
     }
 
-    /// Tells the copy that a try of the home has ended without running.
+    /// Tells the members that were asked for their vote that a try has ended without running.
     fn release(&self, attempt: &Attempt, out: &mut Vec<Output>) {
-        let is_home = self.is_me(attempt.placement.home);
-        if let (true, Some(to)) = (is_home, attempt.placement.copy) {
-            let (key, run) = (attempt.key, attempt.run);
-            let msg = PeerMessage::Release { key, run };
-            out.push(Output::Send { to, msg });
-        }
+        let (key, run) = (attempt.key, attempt.run);
+        out.extend(attempt.asked.iter().map(|to| Output::Send {
+            to: *to,
+            msg: PeerMessage::Release { key, run },
+        }));
     }
 
     /// Drops a caller that no longer waits, and a try that nobody waits for before it runs.
@@ -198,14 +205,20 @@
     pub(super) fn expire_timers(&mut self, now: Now, out: &mut Vec<Output>) {
         for timer in self.timers.expire(now.mono) {
             match timer {
-                Timer::Decision(attempt) => {
-                    self.give_up(attempt, ErrorKind::HomeUnavailable, out);
-                }
+                Timer::Decision(attempt) => self.time_out(attempt, out),
+                Timer::Fallback(attempt) => self.fall_back(attempt, out),
                 Timer::Recorded(key) => self.resend_recorded(now, key, out),
             }
         }
     }
 
+    /// Gives up a try that got no vote in time.
+    fn time_out(&mut self, attempt: AttemptKey, out: &mut Vec<Output>) {
+        if let Some(failure) = self.attempts.get(attempt).map(|attempt| attempt.failure) {
+            self.give_up(attempt, failure, out);
+        }
+    }
+
     fn cancel_timer(&mut self, attempt: AttemptKey) {
         let attempt = self.attempts.get_mut(attempt);
         if let Some(timer) = attempt.and_then(|attempt| attempt.timer.take()) {
--- /dev/null
+++ b/crates/rhubarblanding_once/src/ledger/decide.rs
@@ -0,0 +1,153 @@
+//! Asking for votes as home or copy of a key.
+
+use rhubarblanding_core::error::ErrorKind;
+use rhubarblanding_core::ids::IdempotencyKey;
+
+use super::active::{Stage, Timer};
+use super::record::AttemptKey;
+use super::{AttemptRequest, Ledger, Output};
+use crate::message::{PeerMessage, RunId, VoteRefusal};
+use crate::table::{MemberId, Placement};
+use crate::time::Now;
+
+impl Ledger {
+    /// Asks the copy for its vote, and the witness if the copy does not answer soon.
+    pub(super) fn start_as_home(
+        &mut self,
+        now: Now,
+        req: AttemptRequest,
+        placement: Placement,
+        out: &mut Vec<Output>,
+    ) {
+        let attempt = self.open(now, req, placement);
+        let Some(copy) = placement.copy else {
+            self.dispatch(attempt, out);
+            return;
+        };
+        self.ask(attempt, copy, out);
+        let due = now.mono + self.settings.fallback_after;
+        self.timers.subscribe(due, Timer::Fallback(attempt));
+        if !self.settings.safeguards.copy_ack {
+            self.dispatch(attempt, out);
+        }
+    }
+
+    /// Asks home and witness for their vote to run a key in place of its home.
+    pub(super) fn start_as_substitute(
+        &mut self,
+        now: Now,
+        req: AttemptRequest,
+        placement: Placement,
+        out: &mut Vec<Output>,
+    ) {
+        let attempt = self.open(now, req, placement);
+        self.ask(attempt, placement.home, out);
+        if let Some(witness) = placement.witness {
+            self.ask(attempt, witness, out);
+        }
+        if !self.settings.safeguards.witness {
+            self.dispatch(attempt, out);
+        }
+    }
+
+    /// Asks one member for its vote, if it may decide on the key together with this node.
+    fn ask(&mut self, attempt_key: AttemptKey, to: MemberId, out: &mut Vec<Output>) {
+        let Some(attempt) = self.attempts.get(attempt_key) else {
+            return;
+        };
+        let key = attempt.key;
+        let is_asked = attempt.asked.contains(&to);
+        let fingerprint = self.records.get(key).map(|record| record.fingerprint);
+        let Some(fingerprint) = fingerprint.filter(|_| !is_asked && self.pairs_with(key, to))
+        else {
+            return;
+        };
+        let Some(attempt) = self.attempts.get_mut(attempt_key) else {
+            return;
+        };
+        attempt.asked.push(to);
+        let msg = PeerMessage::Prepare {
+            epoch: attempt.placement.epoch,
+            key,
+            fingerprint,
+            run: attempt.run,
+        };
+        out.push(Output::Send { to, msg });
+    }
+
+    /// Asks the witness in place of a copy that does not vote.
+    pub(super) fn fall_back(&mut self, attempt: AttemptKey, out: &mut Vec<Output>) {
+        let deciding = self.attempts.get(attempt);
+        let deciding = deciding.filter(|attempt| attempt.stage == Stage::Deciding);
+        if let Some(witness) = deciding.and_then(|attempt| attempt.placement.witness) {
+            self.ask(attempt, witness, out);
+        }
+    }
+
+    pub(super) fn on_prepare_ack(
+        &mut self,
+        from: MemberId,
+        key: IdempotencyKey,
+        run: RunId,
+        out: &mut Vec<Output>,
+    ) {
+        let attempt = if self.settings.safeguards.run_check {
+            self.active_run(key, Stage::Deciding, run)
+        } else {
+            self.active(key, Stage::Deciding)
+        };
+        if let Some(attempt) = attempt.filter(|attempt| self.is_asked(*attempt, from)) {
+            self.dispatch(attempt, out);
+        }
+    }
+
+    pub(super) fn on_prepare_refused(
+        &mut self,
+        from: MemberId,
+        key: IdempotencyKey,
+        run: RunId,
+        reason: VoteRefusal,
+        out: &mut Vec<Output>,
+    ) {
+        let attempt = self.active_run(key, Stage::Deciding, run);
+        let Some(attempt) = attempt.filter(|attempt| self.is_asked(*attempt, from)) else {
+            return;
+        };
+        let failure = match reason {
+            VoteRefusal::Ran(kept) => return self.finish(attempt, kept, out),
+            VoteRefusal::Conflict => return self.give_up(attempt, ErrorKind::KeyConflict, out),
+            VoteRefusal::OtherEpoch => None,
+            VoteRefusal::Full => Some(ErrorKind::Overloaded),
+            VoteRefusal::InProgress => Some(ErrorKind::KeyInProgress),
+            VoteRefusal::Evicted | VoteRefusal::OutcomeUnknown => Some(ErrorKind::OutcomeUnknown),
+        };
+        self.go_on_without(attempt, from, failure, out);
+    }
+
+    /// Goes on without the vote of a member, and gives up if no other was asked.
+    fn go_on_without(
+        &mut self,
+        attempt_key: AttemptKey,
+        from: MemberId,
+        failure: Option<ErrorKind>,
+        out: &mut Vec<Output>,
+    ) {
+        self.fall_back(attempt_key, out);
+        let Some(attempt) = self.attempts.get_mut(attempt_key) else {
+            return;
+        };
+        if !attempt.refused_by.contains(&from) {
+            attempt.refused_by.push(from);
+        }
+        attempt.failure = failure.unwrap_or(attempt.failure);
+        let failure = attempt.failure;
+        if attempt.refused_by.len() == attempt.asked.len() {
+            self.give_up(attempt_key, failure, out);
+        }
+    }
+
+    fn is_asked(&self, attempt: AttemptKey, id: MemberId) -> bool {
+        let attempt = self.attempts.get(attempt);
+        attempt.is_some_and(|attempt| attempt.asked.iter().any(|asked| self.is_same(*asked, id)))
+    }
+}
--- a/crates/rhubarblanding_once/src/ledger/mod.rs
+++ b/crates/rhubarblanding_once/src/ledger/mod.rs
@@ -1,13 +1,13 @@
 //! A node's at-most-once state for the service of its backend server.
 
 mod active;
-mod copy;
-mod home;
+mod decide;
 mod io;
 mod outcome;
 mod record;
 mod settings;
 mod table;
+mod vote;
 
 use rhubarblanding_core::error::{ErrorKind, Refusal, RetryAdvice};
 use rhubarblanding_core::time::{MonoTime, UnixMillis};
@@ -22,7 +22,7 @@
 use record::{AttemptKey, Record, Records, State};
 
 pub use io::{AttemptRequest, CallerId, Input, Outcome, Output, Role};
-pub use settings::{LedgerSettings, Safeguards};
+pub use settings::LedgerSettings;
 
 /// Records and running requests of one node for one service.
 ///
@@ -110,7 +110,7 @@
 
     fn on_attempt(&mut self, now: Now, req: AttemptRequest, out: &mut Vec<Output>) {
         match self.records.get(req.key) {
-            Some(record) if self.settings.safeguards.copy_arbiter || !record.is_prepared() => {
+            Some(record) if self.settings.safeguards.arbiter || record.vote().is_none() => {
                 let record = record.clone();
                 self.on_repeat(req, record, out);
             }
@@ -138,7 +138,11 @@
                 out.push(Output::Answer { caller, answer });
                 return;
             }
-            State::Prepared(_) | State::Lost(_) => ErrorKind::OutcomeUnknown,
+            State::Prepared(vote) => {
+                self.query(req.key, vote, out);
+                ErrorKind::OutcomeUnknown
+            }
+            State::Lost(_) => ErrorKind::OutcomeUnknown,
             State::NotKept => ErrorKind::AnswerNotKept,
         };
         self.refuse(req.caller, kind, out);
@@ -170,9 +174,10 @@
         }
         if is_home {
             self.start_as_home(now, req, placement, out);
-            return Ok(());
+        } else {
+            self.start_as_substitute(now, req, placement, out);
         }
-        self.start_as_substitute(now, req, placement, out)
+        Ok(())
     }
 
     fn on_peer(&mut self, envelope: Envelope, out: &mut Vec<Output>) {
@@ -185,19 +190,16 @@
             PeerMessage::Prepare { .. } => self.on_prepare(from, msg, out),
             PeerMessage::PrepareAck { key, run } => self.on_prepare_ack(from, key, run, out),
             PeerMessage::PrepareRefused { key, run, reason } => {
-                self.on_prepare_refused(key, run, reason, out);
+                self.on_prepare_refused(from, key, run, reason, out);
             }
-            PeerMessage::Release { key, run } => self.on_release(key, run),
+            PeerMessage::Release { key, run } => self.on_release(from, key, run),
             PeerMessage::Recorded {
                 key,
                 fingerprint,
                 kept,
             } => self.on_recorded(from, key, fingerprint, kept, out),
-            PeerMessage::RecordedAck { key } => self.on_recorded_ack(key),
-            PeerMessage::Witness { epoch, key, run } => {
-                self.on_witness(from, epoch, key, run, out);
-            }
-            PeerMessage::WitnessAck { key, run } => self.on_witness_ack(from, key, run, out),
+            PeerMessage::RecordedAck { key } => self.on_recorded_ack(from, key),
+            PeerMessage::Query { key, run } => self.on_query(from, key, run, out),
         }
     }
 
--- a/crates/rhubarblanding_once/src/ledger/outcome.rs
+++ b/crates/rhubarblanding_once/src/ledger/outcome.rs
@@ -14,8 +14,15 @@
 use crate::table::MemberId;
 use crate::time::Now;
 
-/// Number of times that each recorded answer may still be sent, by key.
-pub(super) type Unacknowledged = HashMap<IdempotencyKey, u8>;
+/// A recorded answer that was not acknowledged by all members that need it.
+#[derive(Clone, Debug)]
+pub(super) struct Resend {
+    to: Vec<MemberId>,
+    sends_left: u8,
+}
+
+/// Recorded answers that were not acknowledged, by key.
+pub(super) type Unacknowledged = HashMap<IdempotencyKey, Resend>;
 
 impl Ledger {
     /// Takes the outcome of a try that this node dispatched.
@@ -70,7 +77,7 @@
                 return;
             }
         }
-        self.send_recorded(now, key, self.settings.recorded_sends, out);
+        self.send_recorded(now, key, attempt.asked, out);
     }
 
     /// Takes the outcome of a lost try, learned later.
@@ -93,7 +100,7 @@
             }
         };
         self.records.set_state(key, state);
-        self.send_recorded(now, key, self.settings.recorded_sends, out);
+        self.send_recorded(now, key, self.partners(key), out);
     }
 
     fn kept_state(&self, answer: Arc<crate::answer::RecordedAnswer>) -> State {
@@ -130,51 +137,53 @@
         self.records.set_state(attempt.key, state);
     }
 
-    /// The other member of a key's placement, if this node is one of the two.
-    fn partner(&self, key: IdempotencyKey) -> Option<MemberId> {
-        let placement = self.epoch_of(key)?.place(key)?;
-        let copy = placement.copy?;
-        if self.is_me(placement.home) {
-            return Some(copy);
-        }
-        self.is_me(copy).then_some(placement.home)
+    /// The other members that decide on a key.
+    fn partners(&self, key: IdempotencyKey) -> Vec<MemberId> {
+        let Some(placement) = self.placement(key) else {
+            return Vec::new();
+        };
+        let members = [Some(placement.home), placement.copy, placement.witness];
+        let others = members.into_iter().flatten();
+        others.filter(|id| !self.is_me(*id)).collect()
     }
 
     fn send_release(&self, key: IdempotencyKey, run: RunId, out: &mut Vec<Output>) {
-        if let Some(to) = self.partner(key) {
-            let msg = PeerMessage::Release { key, run };
-            out.push(Output::Send { to, msg });
-        }
+        out.extend(self.partners(key).into_iter().map(|to| Output::Send {
+            to,
+            msg: PeerMessage::Release { key, run },
+        }));
     }
 
-    /// Sends what is kept of a key to the partner and waits for the acknowledgement.
+    /// Sends what is kept of a key to members that voted for it, until they acknowledge it.
     fn send_recorded(
         &mut self,
         now: Now,
         key: IdempotencyKey,
-        sends_left: u8,
+        to: Vec<MemberId>,
         out: &mut Vec<Output>,
     ) {
-        let Some((to, msg)) = self.partner(key).zip(self.recorded_message(key)) else {
-            self.unacknowledged.remove(&key);
+        let sends_left = self.settings.recorded_sends;
+        self.unacknowledged.insert(key, Resend { to, sends_left });
+        self.resend_recorded(now, key, out);
+    }
+
+    pub(super) fn resend_recorded(&mut self, now: Now, key: IdempotencyKey, out: &mut Vec<Output>) {
+        let Some(mut resend) = self.unacknowledged.remove(&key) else {
             return;
         };
-        out.push(Output::Send { to, msg });
-        if sends_left <= 1 {
-            self.unacknowledged.remove(&key);
+        let Some(msg) = self.recorded_message(key).filter(|_| resend.sends_left > 0) else {
             return;
-        }
-        self.unacknowledged.insert(key, sends_left - 1);
+        };
+        out.extend(resend.to.iter().map(|to| Output::Send {
+            to: *to,
+            msg: msg.clone(),
+        }));
+        resend.sends_left -= 1;
+        self.unacknowledged.insert(key, resend);
         let due = now.mono + self.settings.recorded_retry;
         self.timers.subscribe(due, Timer::Recorded(key));
     }
 
-    pub(super) fn resend_recorded(&mut self, now: Now, key: IdempotencyKey, out: &mut Vec<Output>) {
-        if let Some(sends_left) = self.unacknowledged.get(&key).copied() {
-            self.send_recorded(now, key, sends_left, out);
-        }
-    }
-
     fn recorded_message(&self, key: IdempotencyKey) -> Option<PeerMessage> {
         let record = self.records.get(key)?;
         let kept = match &record.state {
@@ -189,7 +198,7 @@
         })
     }
 
-    /// Records that the partner ran a key.
+    /// Records that another member ran a key.
     pub(super) fn on_recorded(
         &mut self,
         from: MemberId,
@@ -200,9 +209,9 @@
     ) {
         let msg = PeerMessage::RecordedAck { key };
         out.push(Output::Send { to: from, msg });
-        let from_partner = self.partner(key).is_some_and(|id| self.is_same(id, from));
         let record = self.records.get(key);
-        if !from_partner || !record.is_none_or(Record::is_prepared) {
+        let is_open = record.is_none_or(|record| record.vote().is_some());
+        if !is_open || self.runner(key, from).is_none() || !self.decides_on(key) {
             return;
         }
         let max = self.settings.max_records;
@@ -216,7 +225,37 @@
         self.records.insert(key, Record { fingerprint, state });
     }
 
-    pub(super) fn on_recorded_ack(&mut self, key: IdempotencyKey) {
-        self.unacknowledged.remove(&key);
+    fn decides_on(&self, key: IdempotencyKey) -> bool {
+        let placement = self.placement(key);
+        placement.is_some_and(|placement| {
+            let members = [Some(placement.home), placement.copy, placement.witness];
+            members.into_iter().flatten().any(|id| self.is_me(id))
+        })
+    }
+
+    pub(super) fn on_recorded_ack(&mut self, from: MemberId, key: IdempotencyKey) {
+        let Some(resend) = self.unacknowledged.get_mut(&key) else {
+            return;
+        };
+        resend.to.retain(|id| *id != from);
+        if resend.to.is_empty() {
+            self.unacknowledged.remove(&key);
+        }
+    }
+
+    /// Tells a member that voted for a try of this node what became of it.
+    pub(super) fn on_query(
+        &mut self,
+        from: MemberId,
+        key: IdempotencyKey,
+        run: RunId,
+        out: &mut Vec<Output>,
+    ) {
+        let msg = match self.records.get(key) {
+            Some(_) => self.recorded_message(key),
+            None if self.is_evicted(key.minted_at()) => None,
+            None => Some(PeerMessage::Release { key, run }),
+        };
+        out.extend(msg.map(|msg| Output::Send { to: from, msg }));
     }
 }
--- a/crates/rhubarblanding_once/src/ledger/record.rs
+++ b/crates/rhubarblanding_once/src/ledger/record.rs
@@ -15,13 +15,27 @@
     pub(super) struct AttemptKey;
 }
 
+/// Which of the members that decide on a key runs it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Runner {
+    Home,
+    Copy,
+}
+
+/// Vote for one try of another member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Vote {
+    pub runner: Runner,
+    pub run: RunId,
+}
+
 /// What a ledger knows of a key.
 #[derive(Clone, Debug)]
 pub(super) enum State {
     /// A try is in progress at this node.
     Active(AttemptKey),
-    /// As copy: the home may have dispatched this try.
-    Prepared(RunId),
+    /// This node voted for a try of another member, which may have dispatched it.
+    Prepared(Vote),
     /// Dispatched by this node, and the outcome was lost.
     Lost(RunId),
     /// Ran, and the answer is kept.
@@ -40,9 +54,12 @@
 }
 
 impl Record {
-    /// Whether the home may have dispatched the key.
-    pub fn is_prepared(&self) -> bool {
-        matches!(self.state, State::Prepared(_))
+    /// The vote of this node, if it does not know more than that.
+    pub fn vote(&self) -> Option<Vote> {
+        match self.state {
+            State::Prepared(vote) => Some(vote),
+            _ => None,
+        }
     }
 }
 
--- a/crates/rhubarblanding_once/src/ledger/table.rs
+++ b/crates/rhubarblanding_once/src/ledger/table.rs
@@ -35,14 +35,13 @@
 
     /// Whether the node can promise to take no part in running keys of a proposed epoch.
     fn judge(&self, now: Now, table: &HomeTable) -> Adoption {
-        let gate = self.settings.safeguards.adoption_gate;
-        let Some(proposed) = table.proposed().filter(|_| gate) else {
+        let Some(proposed) = table.proposed() else {
             return Adoption::Adopted;
         };
         if proposed.from > now.wall + self.settings.proposal_lead_max {
             return Adoption::TooFar;
         }
-        if self.latest_mint >= proposed.from {
+        if self.settings.safeguards.mint_check && self.latest_mint >= proposed.from {
             let latest_mint = self.latest_mint;
             return Adoption::TooLate { latest_mint };
         }
@@ -66,8 +65,13 @@
         self.locate(key) == Ok(placement)
     }
 
+    /// The members that decide on a key by the active epochs.
+    pub(super) fn placement(&self, key: IdempotencyKey) -> Option<Placement> {
+        self.table.as_ref()?.place(key)
+    }
+
     /// The epoch that holds a key by the active epochs.
-    pub(super) fn epoch_of(&self, key: IdempotencyKey) -> Option<&Epoch> {
+    fn epoch_of(&self, key: IdempotencyKey) -> Option<&Epoch> {
         self.table.as_ref()?.active_epoch_at(key.minted_at())
     }
 
--- a/crates/rhubarblanding_once/src/lib.rs
+++ b/crates/rhubarblanding_once/src/lib.rs
@@ -3,8 +3,9 @@
 //! Each [`IdempotencyKey`](rhubarblanding_core::ids::IdempotencyKey) is a UUID of version 7, so its
 //! mint time is part of the key. A [`HomeTable`](table::HomeTable) maps that mint time to one
 //! epoch, and the epoch maps the key to one [`Placement`](table::Placement): a *home*, which runs
-//! the request at its own backend server, and a *copy* in another availability zone, which
-//! acknowledges the key before the home dispatches it.
+//! the request at its own backend server, a *copy* in another availability zone, which runs it if
+//! the home cannot be reached, and a *witness*. Home and copy dispatch only with the vote of
+//! another of the three, and each of the three votes for one of them.
 //!
 //! - [`ledger::Ledger`] is a node's state for one service: records, running requests, fencing.
 //! - [`route::Route`] decides which node an entry node asks, and what it may tell the caller.
@@ -18,6 +19,7 @@
 pub mod ledger;
 pub mod message;
 pub mod route;
+pub mod safeguards;
 pub mod table;
 pub mod time;
 
--- a/crates/rhubarblanding_once/src/message.rs
+++ b/crates/rhubarblanding_once/src/message.rs
@@ -33,35 +33,36 @@
     NotKept,
 }
 
-/// Reason why a copy does not let the home run a key.
+/// Reason why a member does not vote for a run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, IntoStaticStr)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
-pub enum PrepareRefusal {
-    /// The copy does not place the key on this home and itself in this epoch.
+pub enum VoteRefusal {
+    /// The receiver does not place the key on the sender and itself in this epoch, or is another
+    /// life of the node that was asked.
     OtherEpoch,
-    /// The copy may have had a record of the key and evicted it.
+    /// The receiver may have voted on the key and evicted the record.
     Evicted,
-    /// The copy has no room for another record.
+    /// The receiver has no room for another record.
     Full,
     /// The key belongs to another request.
     Conflict,
-    /// The copy took the key over and is running it.
+    /// The receiver is running the key, or asking for votes itself.
     InProgress,
-    /// The copy took the key over and its outcome is not known.
+    /// The receiver voted for the other member, or dispatched the key and lost the outcome.
     OutcomeUnknown,
     /// The key ran.
     Ran(Kept),
 }
 
-/// Message between two members of one service.
+/// Message between two of the members that decide on a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, IntoStaticStr)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum PeerMessage {
-    /// Home to copy: the home wants to run the key.
+    /// Home or copy asks for the vote to run the key.
     Prepare {
-        /// Epoch by which the sender is the home.
+        /// Epoch by which the sender is home or copy.
         epoch: TableVersion,
         /// Key to run.
         key: IdempotencyKey,
@@ -70,30 +71,30 @@
         /// The try.
         run: RunId,
     },
-    /// Copy to home: the key is recorded; the home may dispatch it.
+    /// The vote is recorded: the asking member may dispatch the key.
     PrepareAck {
         /// Key to run.
         key: IdempotencyKey,
-        /// The try that was acknowledged.
+        /// The try that was voted for.
         run: RunId,
     },
-    /// Copy to home: the home must not dispatch this try.
+    /// There is no vote for this try.
     PrepareRefused {
         /// Key that was to run.
         key: IdempotencyKey,
         /// The try that was refused.
         run: RunId,
         /// Why.
-        reason: PrepareRefusal,
+        reason: VoteRefusal,
     },
-    /// Home to copy: this try was not dispatched, or was not run by the backend server.
+    /// The try was not dispatched and will not be, or the backend server did not run it.
     Release {
         /// Key that is free again.
         key: IdempotencyKey,
         /// The try that has ended.
         run: RunId,
     },
-    /// To the other member of the placement: the key ran.
+    /// The sender ran the key.
     Recorded {
         /// Key that ran.
         key: IdempotencyKey,
@@ -107,20 +108,12 @@
         /// Key that ran.
         key: IdempotencyKey,
     },
-    /// Copy to another member of the epoch: confirm that the epoch still decides on the key.
-    Witness {
-        /// Epoch by which the sender is the copy.
-        epoch: TableVersion,
-        /// Key that the copy takes over.
-        key: IdempotencyKey,
-        /// The try.
-        run: RunId,
-    },
-    /// Answer to [`PeerMessage::Witness`]: the copy may dispatch the key.
-    WitnessAck {
-        /// Key that the copy takes over.
+    /// A member that voted for the receiver asks what became of the try. The answer is
+    /// [`PeerMessage::Recorded`], [`PeerMessage::Release`] or nothing.
+    Query {
+        /// Key that was voted on.
         key: IdempotencyKey,
-        /// The try.
+        /// The try that was voted for.
         run: RunId,
     },
 }
--- a/crates/rhubarblanding_once/src/table/placement.rs
+++ b/crates/rhubarblanding_once/src/table/placement.rs
@@ -1,6 +1,5 @@
 //! Rendezvous hashing of keys over the members of an epoch.
 
-use std::cmp::Reverse;
 use std::net::IpAddr;
 
 use rhubarblanding_core::collections::stable_hash;
@@ -10,14 +9,21 @@
 use super::{Epoch, HomeTable, Member, MemberId};
 
 /// The members that decide on one key.
+///
+/// Only home and copy run it, and only with the vote of one of the other two. Each of the three
+/// votes for at most one of them, so that two runs would need two majorities without a common
+/// member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Placement {
     /// Epoch that holds the key's mint time.
     pub epoch: TableVersion,
     /// Member that runs the key at its own backend server.
     pub home: MemberId,
-    /// Member that acknowledges the key before the home dispatches it. A single member has none.
+    /// Member that votes for the home, or runs the key if the home cannot be reached. An epoch
+    /// with one member has none.
     pub copy: Option<MemberId>,
+    /// Member that votes if home or copy cannot be reached. An epoch with two members has none.
+    pub witness: Option<MemberId>,
 }
 
 /// Length of the bytes that name a host: an IPv6 or mapped IPv4 address and a port.
@@ -41,25 +47,30 @@
 }
 
 impl Epoch {
-    /// Members in descending order of their rank for a key.
-    pub fn ranked(&self, key: IdempotencyKey) -> Vec<&Member> {
-        let mut members: Vec<&Member> = self.members.iter().collect();
-        members.sort_by_cached_key(|member| Reverse((weight(member, key), member.id)));
-        members
-    }
-
-    /// Home and copy of a key of this epoch.
+    /// Home, copy and witness of a key of this epoch, by rendezvous hashing.
     pub fn place(&self, key: IdempotencyKey) -> Option<Placement> {
-        let rank = |member: &&Member| (weight(member, key), member.id);
-        let home = self.members.iter().max_by_key(rank)?;
-        let others = self.members.iter();
-        let copy = others
-            .filter(|member| self.can_pair(home, member))
-            .max_by_key(rank);
+        let ranks = self
+            .members
+            .iter()
+            .map(|member| (weight(member, key), member));
+        let ranked: Vec<(u64, &Member)> = ranks.collect();
+        let best = |allowed: &dyn Fn(&Member) -> bool| {
+            let candidates = ranked.iter().filter(|(_, member)| allowed(member));
+            candidates.max().map(|(_, member)| *member)
+        };
+        let home = best(&|_| true)?;
+        let copy = best(&|member| self.can_pair(home, member));
+        let witness = copy.and_then(|copy| {
+            let is_other = |member: &Member| member.id != home.id && member.id != copy.id;
+            let pairs =
+                |member: &Member| self.can_pair(home, member) && self.can_pair(copy, member);
+            best(&pairs).or_else(|| best(&is_other))
+        });
         Some(Placement {
             epoch: self.version,
             home: home.id,
             copy: copy.map(|member| member.id),
+            witness: witness.map(|member| member.id),
         })
     }
 }
--- a/crates/rhubarblanding_once/tests/at_most_once/ledger.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/ledger.rs
@@ -2,8 +2,10 @@
 
 use crate::common::pair::Pair;
 use googletest::prelude::*;
+use rhubarblanding_core::cases;
 use rhubarblanding_core::error::{ErrorKind, Refusal};
 use rhubarblanding_once::prelude::*;
+use rhubarblanding_once::safeguards::Safeguards;
 
 fn refused(outputs: &[Output]) -> Vec<ErrorKind> {
     let kind = |output: &Output| match output {
@@ -90,3 +92,36 @@
     };
     expect_that!(refusal.kind, eq(ErrorKind::OutcomeUnknown));
 }
+
+/// The copy takes over a key whose try at the home timed out, and the home, which does not hear of
+/// it, tries again.
+fn runs_after_a_late_acknowledgement(run_check: bool, expected: usize) {
+    let safeguards = Safeguards {
+        run_check,
+        ..Safeguards::default()
+    };
+    let mut pair = Pair::with_settings(LedgerSettings {
+        safeguards,
+        ..LedgerSettings::default()
+    });
+    let sent = pair.ask_home(1);
+    let late = pair.deliver(pair.home, &sent);
+    let released = pair.time_out();
+    pair.exchange(released);
+    let mut taken = pair.ask_copy(2);
+    let home = pair.id(pair.home);
+    taken.retain(|output| !matches!(output, Output::Send { to, .. } if *to == home));
+    let mut dispatched = pair.exchange_from(pair.copy, taken);
+    pair.ask_home(3);
+    dispatched.extend(pair.deliver(pair.copy, &late));
+    let runs = dispatched
+        .iter()
+        .filter(|output| matches!(output, Output::Dispatch { .. }));
+    assert_that!(runs.count(), eq(expected));
+}
+
+cases! {
+    runs_after_a_late_acknowledgement;
+    late_acknowledgement_is_of_another_try: (true, 1);
+    missing_run_check_shows: (false, 2);
+}
--- a/crates/rhubarblanding_once/tests/at_most_once/main.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/main.rs
@@ -4,4 +4,5 @@
 mod common;
 mod fuzz;
 mod ledger;
+mod scenarios;
 mod sim;
--- a/crates/rhubarblanding_once/tests/at_most_once/sim/events.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/sim/events.rs
@@ -36,6 +36,24 @@
 }
 
 impl Event {
+    /// The node that takes the next step of something of its own.
+    pub fn owner(&self) -> Option<NodeIndex> {
+        match self {
+            Self::Adopted(node, ..)
+            | Self::Dispatch(node, ..)
+            | Self::Ended(node, ..)
+            | Self::AskOutcome(node, ..)
+            | Self::Store(node, ..)
+            | Self::StoreAnswer(node, ..) => Some(*node),
+            Self::Peer(_) | Self::Ask(..) | Self::Reply(..) | Self::Spread(..) => None,
+        }
+    }
+
+    /// Whether it is a step of this node.
+    pub fn is_of(&self, node: NodeIndex) -> bool {
+        self.owner() == Some(node)
+    }
+
     /// Whether it travels between hosts, where it can be lost.
     pub fn is_remote(&self) -> bool {
         !matches!(self, Self::Dispatch(..) | Self::AskOutcome(..))
