Show availability without one node, and bound the ledger's timers

Cause: the fuzzing showed safety only; a ledger that refuses everything would pass it. A keeper also waited up to a second before it read back after a conflict, because giving the table to members and reading the document shared one time.

Each try has one timer instead of two, and an acknowledged answer cancels its own.

--- a/crates/rhubarblanding_once/src/keeper/mod.rs
+++ b/crates/rhubarblanding_once/src/keeper/mod.rs
@@ -50,8 +50,13 @@
     too_late: bool,
     /// Version that was last given to the members.
     spread: Option<TableVersion>,
-    retry_at: MonoTime,
+    /// When the table is given again to members that did not answer.
+    spread_at: MonoTime,
+    /// When the document may be read again.
+    read_at: MonoTime,
+    /// When the next epoch may be proposed.
     propose_at: MonoTime,
+    /// Proposals that were withdrawn since the last one that was activated.
     withdrawn: u32,
 }
 
@@ -70,7 +75,8 @@
             latest_mint: UnixMillis::default(),
             too_late: false,
             spread: None,
-            retry_at: MonoTime::ZERO,
+            spread_at: MonoTime::ZERO,
+            read_at: MonoTime::ZERO,
             propose_at: MonoTime::ZERO,
             withdrawn: 0,
         }
@@ -156,7 +162,7 @@
 
     fn read_later(&mut self, now: Now) {
         self.store = StoreState::Unread;
-        self.retry_at = now.mono + self.settings.retry_interval;
+        self.read_at = now.mono + self.settings.retry_interval;
     }
 
     fn on_adoption(&mut self, reply: AdoptionReply) {
--- a/crates/rhubarblanding_once/src/keeper/propose.rs
+++ b/crates/rhubarblanding_once/src/keeper/propose.rs
@@ -21,7 +21,7 @@
     }
 
     fn read(&mut self, now: Now, out: &mut Vec<KeeperOutput>) {
-        if now.mono >= self.retry_at {
+        if now.mono >= self.read_at {
             self.store = StoreState::Reading;
             out.push(KeeperOutput::Read);
         }
@@ -49,7 +49,7 @@
     /// Gives the table to the members that have not adopted it, at once and then at intervals.
     fn spread(&mut self, now: Now, table: &HomeTable, out: &mut Vec<KeeperOutput>) {
         let is_new = self.spread != Some(table.version());
-        if !is_new && now.mono < self.retry_at {
+        if !is_new && now.mono < self.spread_at {
             return;
         }
         let to = self.receivers(table);
@@ -58,7 +58,7 @@
             out.push(KeeperOutput::Spread { to, table });
         }
         self.spread = Some(table.version());
-        self.retry_at = now.mono + self.settings.retry_interval;
+        self.spread_at = now.mono + self.settings.retry_interval;
     }
 
     fn receivers(&self, table: &HomeTable) -> Vec<MemberId> {
--- a/crates/rhubarblanding_once/src/ledger/active.rs
+++ b/crates/rhubarblanding_once/src/ledger/active.rs
@@ -4,6 +4,7 @@
 
 use rhubarblanding_core::error::ErrorKind;
 use rhubarblanding_core::ids::IdempotencyKey;
+use rhubarblanding_core::time::MonoTime;
 use rhubarblanding_core::timer::TimerKey;
 
 use super::record::{AttemptKey, Record, State};
@@ -39,6 +40,8 @@
     pub waiters: Vec<CallerId>,
     /// Caller whose request was sent to the backend server.
     pub dispatched_for: Option<CallerId>,
+    /// When the try is given up without a vote.
+    pub deadline: MonoTime,
     timer: Option<TimerKey>,
 }
 
@@ -74,13 +77,9 @@
             failure: ErrorKind::HomeUnavailable,
             waiters: vec![req.caller],
             dispatched_for: None,
+            deadline: now.mono + self.settings.prepare_timeout,
             timer: None,
         });
-        let due = now.mono + self.settings.prepare_timeout;
-        let timer = self.timers.subscribe(due, Timer::Decision(attempt));
-        if let Some(opened) = self.attempts.get_mut(attempt) {
-            opened.timer = Some(timer);
-        }
         let record = Record {
             fingerprint: req.fingerprint,
             state: State::Active(attempt),
@@ -206,12 +205,24 @@
         for timer in self.timers.expire(now.mono) {
             match timer {
                 Timer::Decision(attempt) => self.time_out(attempt, out),
-                Timer::Fallback(attempt) => self.fall_back(attempt, out),
+                Timer::Fallback(attempt) => self.on_fallback(now, attempt, out),
                 Timer::Recorded(key) => self.resend_recorded(now, key, out),
             }
         }
     }
 
+    fn on_fallback(&mut self, now: Now, attempt: AttemptKey, out: &mut Vec<Output>) {
+        let Some(deadline) = self.attempts.get(attempt).map(|attempt| attempt.deadline) else {
+            return;
+        };
+        if now.mono >= deadline {
+            self.time_out(attempt, out);
+            return;
+        }
+        self.fall_back(attempt, out);
+        self.set_timer(attempt, deadline, Timer::Decision(attempt));
+    }
+
     /// Gives up a try that got no vote in time.
     fn time_out(&mut self, attempt: AttemptKey, out: &mut Vec<Output>) {
         if let Some(failure) = self.attempts.get(attempt).map(|attempt| attempt.failure) {
@@ -219,6 +230,14 @@
         }
     }
 
+    /// Sets the timer of a try in place of its earlier one.
+    pub(super) fn set_timer(&mut self, attempt: AttemptKey, due: MonoTime, timer: Timer) {
+        self.cancel_timer(attempt);
+        if let Some(attempt) = self.attempts.get_mut(attempt) {
+            attempt.timer = Some(self.timers.subscribe(due, timer));
+        }
+    }
+
     fn cancel_timer(&mut self, attempt: AttemptKey) {
         let attempt = self.attempts.get_mut(attempt);
         if let Some(timer) = attempt.and_then(|attempt| attempt.timer.take()) {
--- a/crates/rhubarblanding_once/src/ledger/decide.rs
+++ b/crates/rhubarblanding_once/src/ledger/decide.rs
@@ -26,7 +26,7 @@
         };
         self.ask(attempt, copy, out);
         let due = now.mono + self.settings.fallback_after;
-        self.timers.subscribe(due, Timer::Fallback(attempt));
+        self.set_timer(attempt, due, Timer::Fallback(attempt));
         if !self.settings.safeguards.copy_ack {
             self.dispatch(attempt, out);
         }
@@ -41,6 +41,8 @@
         out: &mut Vec<Output>,
     ) {
         let attempt = self.open(now, req, placement);
+        let due = now.mono + self.settings.prepare_timeout;
+        self.set_timer(attempt, due, Timer::Decision(attempt));
         self.ask(attempt, placement.home, out);
         if let Some(witness) = placement.witness {
             self.ask(attempt, witness, out);
--- a/crates/rhubarblanding_once/src/ledger/outcome.rs
+++ b/crates/rhubarblanding_once/src/ledger/outcome.rs
@@ -5,6 +5,7 @@
 use rhubarblanding_core::collections::HashMap;
 use rhubarblanding_core::error::ErrorKind;
 use rhubarblanding_core::ids::IdempotencyKey;
+use rhubarblanding_core::timer::TimerKey;
 
 use super::active::{Attempt, Stage, Timer};
 use super::record::{AttemptKey, Record, State};
@@ -19,6 +20,7 @@
 pub(super) struct Resend {
     to: Vec<MemberId>,
     sends_left: u8,
+    timer: Option<TimerKey>,
 }
 
 /// Recorded answers that were not acknowledged, by key.
@@ -163,7 +165,13 @@
         out: &mut Vec<Output>,
     ) {
         let sends_left = self.settings.recorded_sends;
-        self.unacknowledged.insert(key, Resend { to, sends_left });
+        let timer = None;
+        let resend = Resend {
+            to,
+            sends_left,
+            timer,
+        };
+        self.unacknowledged.insert(key, resend);
         self.resend_recorded(now, key, out);
     }
 
@@ -179,9 +187,9 @@
             msg: msg.clone(),
         }));
         resend.sends_left -= 1;
-        self.unacknowledged.insert(key, resend);
         let due = now.mono + self.settings.recorded_retry;
-        self.timers.subscribe(due, Timer::Recorded(key));
+        resend.timer = Some(self.timers.subscribe(due, Timer::Recorded(key)));
+        self.unacknowledged.insert(key, resend);
     }
 
     fn recorded_message(&self, key: IdempotencyKey) -> Option<PeerMessage> {
@@ -238,9 +246,13 @@
             return;
         };
         resend.to.retain(|id| *id != from);
-        if resend.to.is_empty() {
-            self.unacknowledged.remove(&key);
+        if !resend.to.is_empty() {
+            return;
+        }
+        if let Some(timer) = resend.timer {
+            self.timers.cancel(timer);
         }
+        self.unacknowledged.remove(&key);
     }
 
     /// Tells a member that voted for a try of this node what became of it.
--- a/crates/rhubarblanding_once/tests/at_most_once/fuzz.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/fuzz.rs
@@ -50,10 +50,19 @@
 
 /// Runs drawn cases and returns what callers were told, or the violation.
 fn fuzz<F: Faults>(cases: u32) -> std::result::Result<Tally, String> {
+    fuzz_and::<F>(cases, |_| Ok(()))
+}
+
+/// Runs drawn cases, each of which ends with a further check.
+fn fuzz_and<F: Faults>(
+    cases: u32,
+    check: fn(&mut Cluster) -> std::result::Result<(), String>,
+) -> std::result::Result<Tally, String> {
     let tally = RefCell::new(Tally::default());
     let strategy = Reference::<F>::sequential_strategy(STEPS..=STEPS);
     let result = runner(cases).run(&strategy, |(setup, ops, _)| {
-        let cluster = run(&setup, ops);
+        let mut cluster = run(&setup, ops);
+        check(&mut cluster).map_err(TestCaseError::fail)?;
         tally.borrow_mut().add(&cluster.oracle.tally);
         match cluster.oracle.violation {
             Some(violation) => Err(TestCaseError::fail(violation)),
@@ -124,6 +133,40 @@
     let tally = fuzz::<NoFault>(cases()).unwrap();
     println!("no fault: {tally:?}");
     expect_that!(tally.refused.len(), eq(0));
+    expect_that!(tally.store_calls, eq(tally.cases));
+}
+
+/// New keys of one check after the faults are over.
+const NEW_KEYS: usize = 5;
+
+fn check_recovery(cluster: &mut Cluster) -> std::result::Result<(), String> {
+    cluster.recover();
+    if !cluster.is_settled() {
+        return Err(format!("the table did not settle: {:?}", cluster.document));
+    }
+    let before = cluster.oracle.tally.clone();
+    cluster.keys.clear();
+    let alive = cluster.alive();
+    for i in 0..NEW_KEYS {
+        let entry = alive[i % alive.len()];
+        cluster.apply(Op::Request {
+            clock_off: 0,
+            entry,
+        });
+        cluster.apply(Op::Quiet(1));
+    }
+    let answered = cluster.oracle.tally.answered - before.answered;
+    if answered != NEW_KEYS as u64 {
+        return Err(format!("only {answered} new keys were answered"));
+    }
+    Ok(())
+}
+
+#[gtest]
+fn after_the_faults_the_table_settles_and_new_keys_run() {
+    if let Err(failure) = fuzz_and::<TableChange>(cases() / 4, check_recovery) {
+        panic!("{failure}");
+    }
 }
 
 /// Declares a kind of run with one mechanism switched off.
--- a/crates/rhubarblanding_once/tests/at_most_once/main.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/main.rs
@@ -3,6 +3,8 @@
 
 mod common;
 mod fuzz;
+mod keeper;
 mod ledger;
 mod scenarios;
 mod sim;
+mod table;
--- a/crates/rhubarblanding_once/tests/at_most_once/scenarios.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/scenarios.rs
@@ -110,6 +110,68 @@
     cluster
 }
 
+fn three_nodes() -> Cluster {
+    cluster(Safeguards::default(), 3, 0)
+}
+
+/// Waits until every request has an answer; who waits for a paused node asks another.
+fn settle_without_paused(cluster: &mut Cluster) {
+    settle(cluster);
+    while cluster
+        .requests
+        .iter()
+        .any(|request| request.current.is_some())
+    {
+        cluster.apply(Op::GiveUp(0));
+        settle(cluster);
+    }
+}
+
+fn all_answered(cluster: &Cluster, requests: usize) {
+    assert_eq!(cluster.oracle.violation, None);
+    assert_eq!(
+        cluster.oracle.tally.refused.len(),
+        0,
+        "{:?}",
+        cluster.oracle.tally
+    );
+    assert_eq!(cluster.oracle.tally.answered, requests as u64);
+}
+
+/// With one of three nodes gone, every new key still runs, before the table has changed.
+fn new_keys_run_without_one_node(gone: Op) {
+    let mut cluster = three_nodes();
+    cluster.apply(gone);
+    race(&mut cluster, [0, 1]);
+    settle_without_paused(&mut cluster);
+    all_answered(&cluster, 2 * KEYS);
+}
+
+/// With one of three nodes gone, every key that ran is answered with the bytes of its run.
+fn old_keys_are_answered_without_one_node(gone: Op) {
+    let mut cluster = three_nodes();
+    race(&mut cluster, [0, 1]);
+    cluster.apply(gone);
+    repeat_all(&mut cluster, 0);
+    settle_without_paused(&mut cluster);
+    all_answered(&cluster, 3 * KEYS);
+}
+
+cases! {
+    new_keys_run_without_one_node;
+    new_keys_run_after_a_node_was_replaced: (Op::Replace(2));
+    new_keys_run_while_a_node_is_paused: (Op::Pause(2));
+    new_keys_run_while_a_node_is_cut_off: (Op::Cut(0b100));
+    new_keys_run_while_the_store_is_down: (Op::Store { up: false });
+}
+
+cases! {
+    old_keys_are_answered_without_one_node;
+    old_keys_are_answered_after_a_node_was_replaced: (Op::Replace(2));
+    old_keys_are_answered_while_a_node_is_paused: (Op::Pause(2));
+    old_keys_are_answered_while_a_node_is_cut_off: (Op::Cut(0b100));
+}
+
 fn holds(scenario: fn(Safeguards) -> Cluster) {
     let cluster = scenario(Safeguards::default());
     assert_eq!(cluster.oracle.violation, None);
--- a/crates/rhubarblanding_once/tests/at_most_once/sim/oracle.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/sim/oracle.rs
@@ -14,6 +14,7 @@
     pub runs: u64,
     pub runs_at_copy: u64,
     pub epochs_activated: u64,
+    pub store_calls: u64,
 }
 
 impl Tally {
@@ -23,6 +24,7 @@
         self.runs += other.runs;
         self.runs_at_copy += other.runs_at_copy;
         self.epochs_activated += other.epochs_activated;
+        self.store_calls += other.store_calls;
         for (kind, count) in &other.refused {
             *self.refused.entry(*kind).or_default() += count;
         }
