--- a/crates/rhubarblanding_admission/src/gate/state.rs
+++ b/crates/rhubarblanding_admission/src/gate/state.rs
@@ -78,7 +78,8 @@
     }
 
     fn arrive_busy(&mut self, now: MonoTime, arrival: Arrival) -> Decision {
-        if !self.level.level().admits(arrival.priority) {
+        let by_importance = self.settings.order_by_importance;
+        if by_importance && !self.level.level().admits(arrival.priority) {
             return Decision::Refused(self.refusal(ErrorKind::Overloaded));
         }
         let wait = self.expected_wait(now, arrival.priority.importance());
@@ -107,7 +108,6 @@
         }
         let sample = Sample {
             kind: running.kind,
-            admitted_at: running.since,
             own: finish.latency.saturating_sub(finish.downstream),
             in_flight,
             waiting: !self.queue.is_empty(),
@@ -184,7 +184,7 @@
         for id in self.timers.expire(now) {
             self.expire(now, id);
         }
-        if self.level.advance(now) {
+        if self.level.advance(now) && self.settings.order_by_importance {
             self.evict_below_level();
         }
     }
--- a/crates/rhubarblanding_admission/src/limit/control.rs
+++ b/crates/rhubarblanding_admission/src/limit/control.rs
@@ -12,6 +12,14 @@
 const LOWER_KEEPS_PERCENT: f64 = 90.0;
 /// Part of the added limit by which a higher limit has to raise the throughput.
 const HIGHER_GAINS_PART: f64 = 0.5;
+/// Narrowest step of a trial of a higher limit, in percent of the limit.
+const HIGHER_MIN_PERCENT: u32 = 10;
+/// Shortest time until a new limit shows in the latency.
+const SETTLE_MIN: Duration = Duration::from_millis(20);
+/// Longest time until a new limit shows in the latency.
+const SETTLE_MAX: Duration = Duration::from_secs(1);
+/// Limit in percent of the lowest kept one that is set after a descent.
+const MARGIN_PERCENT: u32 = 115;
 /// Limit in percent that is left after the backend server shed a request.
 const SHED_LEAVES_PERCENT: u32 = 90;
 /// Part of the announced slots below which shedding does not push the limit.
@@ -24,7 +32,11 @@
     /// No trial runs.
     Steady,
     /// A lower limit is tried.
-    Lower { from: u32, throughput: f64 },
+    Lower {
+        from: u32,
+        throughput: f64,
+        descended: bool,
+    },
     /// A higher limit is tried.
     Higher { from: u32, throughput: f64 },
     /// The backend server shed requests; the limit returns to `up_to`.
@@ -45,6 +57,8 @@
     next_higher: MonoTime,
     lower_pause: Duration,
     higher_pause: Duration,
+    higher_percent: u32,
+    settle: Duration,
 }
 
 impl LimitControl {
@@ -60,6 +74,8 @@
             next_higher: now + settings.trial_pause,
             lower_pause: settings.trial_pause,
             higher_pause: settings.trial_pause,
+            higher_percent: settings.higher_percent,
+            settle: SETTLE_MIN,
             settings,
         };
         control.set_slots(now, slots);
@@ -94,8 +110,8 @@
 
     /// Records a completed request.
     pub(crate) fn completed(&mut self, now: MonoTime, sample: Sample) {
-        // Requests admitted under an earlier limit say nothing about this one.
-        if sample.admitted_at < self.window.started {
+        // What ends while an earlier limit still shows says nothing about this one.
+        if now < self.window.started {
             return;
         }
         let latency = self.baselines.record(sample.kind, sample.own);
@@ -166,7 +182,11 @@
     fn close_trial_window(&mut self, now: MonoTime) {
         match self.phase {
             Phase::Steady => self.close_steady(now),
-            Phase::Lower { from, throughput } => self.close_lower(now, from, throughput),
+            Phase::Lower {
+                from,
+                throughput,
+                descended,
+            } => self.close_lower(now, from, throughput, descended),
             Phase::Higher { from, throughput } => self.close_higher(now, from, throughput),
             Phase::Restoring { .. } => self.window = Window::new(now),
         }
@@ -179,39 +199,51 @@
         if !window.is_saturated() {
             return;
         }
-        if self.is_slow(&window) || now >= self.next_lower {
-            return self.try_lower(now, window.throughput());
+        if self.is_slow(&window) {
+            let percent = self.settings.lower_percent;
+            return self.try_lower(now, window.throughput(), percent, false);
+        }
+        if now >= self.next_lower {
+            let percent = self.settings.probe_percent;
+            return self.try_lower(now, window.throughput(), percent, false);
         }
         if now >= self.next_higher {
             self.try_higher(now, window.throughput());
         }
     }
 
-    fn try_lower(&mut self, now: MonoTime, throughput: f64) {
+    fn try_lower(&mut self, now: MonoTime, throughput: f64, percent: u32, descended: bool) {
         let from = self.limit;
-        self.phase = Phase::Lower { from, throughput };
-        self.set_limit(now, from * self.settings.lower_percent / 100);
+        self.phase = Phase::Lower {
+            from,
+            throughput,
+            descended,
+        };
+        self.set_limit(now, from * percent / 100);
     }
 
     fn try_higher(&mut self, now: MonoTime, throughput: f64) {
         let from = self.limit;
         self.phase = Phase::Higher { from, throughput };
-        let raised = from * self.settings.higher_percent / 100;
-        self.set_limit(now, raised.max(from + 1));
+        let added = (from * self.higher_percent).div_ceil(100);
+        self.set_limit(now, from + added);
     }
 
-    fn close_lower(&mut self, now: MonoTime, from: u32, before: f64) {
+    fn close_lower(&mut self, now: MonoTime, from: u32, before: f64, descended: bool) {
         let kept = self.window.throughput() >= before * LOWER_KEEPS_PERCENT / 100.0;
         if kept && self.limit < from {
             let throughput = self.window.throughput();
             self.baselines.discard();
             self.lower_pause = self.settings.trial_pause;
-            return self.try_lower(now, throughput);
+            let percent = self.settings.lower_percent;
+            return self.try_lower(now, throughput, percent, true);
         }
         // The latency does not come from the concurrency, so it is the usual one from now on.
         self.baselines.adopt();
         self.lower_pause = (self.lower_pause * 2).min(self.settings.trial_pause_max);
-        self.end_trial(now, from);
+        // The last limit that was kept may have cost as much as was tolerated.
+        let margin = if descended { MARGIN_PERCENT } else { 100 };
+        self.end_trial(now, (from * margin).div_ceil(100));
     }
 
     fn close_higher(&mut self, now: MonoTime, from: u32, before: f64) {
@@ -223,14 +255,29 @@
             self.higher_pause = self.settings.trial_pause;
             return self.try_higher(now, throughput);
         }
-        self.higher_pause = (self.higher_pause * 2).min(self.settings.trial_pause_max);
+        self.narrow_higher();
         self.end_trial(now, from);
     }
 
+    /// Halves the step of the next trial, or starts over with the widest after a longer pause.
+    fn narrow_higher(&mut self) {
+        self.higher_percent /= 2;
+        if self.higher_percent < HIGHER_MIN_PERCENT {
+            self.higher_percent = self.settings.higher_percent;
+            self.higher_pause = (self.higher_pause * 2).min(self.settings.trial_pause_max);
+        }
+    }
+
     fn end_trial(&mut self, now: MonoTime, limit: u32) {
         self.phase = Phase::Steady;
         self.next_lower = now + self.lower_pause;
-        self.next_higher = now + self.higher_pause;
+        let narrowed = self.higher_percent < self.settings.higher_percent;
+        let pause = if narrowed {
+            Duration::ZERO
+        } else {
+            self.higher_pause
+        };
+        self.next_higher = now + pause;
         self.set_limit(now, limit);
     }
 
@@ -261,7 +308,10 @@
     }
 
     fn set_limit(&mut self, now: MonoTime, limit: u32) {
+        if self.window.count() > 0 {
+            self.settle = (self.window.own() * 2).clamp(SETTLE_MIN, SETTLE_MAX);
+        }
         self.limit = limit.clamp(self.settings.min, self.settings.max);
-        self.window = Window::new(now);
+        self.window = Window::new(now + self.settle);
     }
 }
--- a/crates/rhubarblanding_admission/src/limit/settings.rs
+++ b/crates/rhubarblanding_admission/src/limit/settings.rs
@@ -42,7 +42,9 @@
     pub tolerance_percent: u32,
     /// Limit in percent that a trial of a lower limit takes.
     pub lower_percent: u32,
-    /// Limit in percent that a trial of a higher limit takes.
+    /// Limit in percent that a trial without a rise of the latency takes.
+    pub probe_percent: u32,
+    /// Widest step of a trial of a higher limit, in percent of the limit.
     pub higher_percent: u32,
     /// Shortest time between trials that were not kept.
     pub trial_pause: Duration,
@@ -59,10 +61,11 @@
             max: 4_096,
             window: Duration::from_millis(100),
             window_max: Duration::from_secs(2),
-            samples: 100,
+            samples: 200,
             tolerance_percent: 175,
             lower_percent: 70,
-            higher_percent: 125,
+            probe_percent: 85,
+            higher_percent: 50,
             trial_pause: Duration::from_secs(1),
             trial_pause_max: Duration::from_secs(16),
         }
--- a/crates/rhubarblanding_admission/src/limit/window.rs
+++ b/crates/rhubarblanding_admission/src/limit/window.rs
@@ -10,7 +10,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Sample {
     pub(crate) kind: KindId,
-    pub(crate) admitted_at: MonoTime,
     /// Latency without the time spent waiting for downstream calls.
     pub(crate) own: Duration,
     /// Requests at the backend server, this one included.
@@ -27,6 +26,7 @@
     waiting: u32,
     in_flight: u64,
     latency: f64,
+    own: Duration,
 }
 
 impl Window {
@@ -37,6 +37,7 @@
             waiting: 0,
             in_flight: 0,
             latency: 0.0,
+            own: Duration::ZERO,
         }
     }
 
@@ -45,6 +46,7 @@
         self.waiting += u32::from(sample.waiting);
         self.in_flight += u64::from(sample.in_flight);
         self.latency += latency;
+        self.own += sample.own;
     }
 
     pub(super) fn count(&self) -> u32 {
@@ -53,7 +55,12 @@
 
     /// Whether the limit held back requests for most of the window.
     pub(super) fn is_saturated(&self) -> bool {
-        self.count > 0 && self.waiting * 2 >= self.count
+        self.count > 0 && self.waiting * 5 >= self.count * 4
+    }
+
+    /// Mean latency.
+    pub(super) fn own(&self) -> Duration {
+        self.own / self.count.max(1)
     }
 
     /// Mean latency as a multiple of the baseline.
--- /dev/null
+++ b/crates/rhubarblanding_admission/tests/overload/main.rs
@@ -0,0 +1,107 @@
+//! Goodput under overload and recovery after a slow phase, against the project's targets.
+
+mod sim;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rhubarblanding_admission::prelude::*;
+use sim::{Outcome, Scenario, Slow, fixed_limit, run};
+
+/// Seed of every run in this file.
+const SEED: u64 = 5_001;
+const SLOTS: u32 = 32;
+/// Share of the peak goodput that is kept under overload.
+const GOODPUT_SHARE: f64 = 0.95;
+/// Share of the most important requests that is answered while they alone fit.
+const CRITICAL_SHARE: f64 = 0.99;
+/// Share of slot time spent on requests that are not answered in time.
+const WASTED_PERCENT: f64 = 5.0;
+/// Time from the end of a trigger to the goodput before it.
+const RECOVERY: Duration = Duration::from_secs(2);
+
+fn scenario(gate: Option<GateSettings>, announced: u32, load: f64) -> Scenario {
+    Scenario {
+        seed: SEED,
+        gate,
+        slots: SLOTS,
+        announced,
+        sheds_above: None,
+        load,
+        secs: 8,
+        slow: None,
+    }
+}
+
+fn gate() -> Option<GateSettings> {
+    Some(GateSettings::default())
+}
+
+fn goodput(outcome: &Outcome) -> f64 {
+    outcome.goodput(4, 7)
+}
+
+/// Goodput once the limit has settled, against the greatest that the loads up to the capacity
+/// give.
+fn goodput_is_kept(announced: u32, load: f64) {
+    let loads = [0.9, 1.0, load];
+    let runs = loads.map(|load| run(scenario(gate(), announced, load)));
+    let peak = runs.iter().map(goodput).fold(0.0, f64::max);
+    let [.., overloaded] = &runs;
+    assert_that!(goodput(overloaded), ge(GOODPUT_SHARE * peak));
+    assert_that!(overloaded.critical_share(4, 7), ge(CRITICAL_SHARE));
+    assert_that!(overloaded.wasted_percent, lt(WASTED_PERCENT));
+    // A limit far above the slots queues at the backend server, where nothing is ordered.
+    assert_that!(overloaded.limit, le(2 * SLOTS));
+}
+
+rhubarblanding_core::cases! {
+    goodput_is_kept;
+    twice_the_capacity: (SLOTS, 2.0);
+    four_times_the_capacity: (SLOTS, 4.0);
+    ten_times_the_capacity: (SLOTS, 10.0);
+    too_many_slots_announced: (4 * SLOTS, 4.0);
+    too_few_slots_announced: (SLOTS / 4, 4.0);
+    no_slots_announced: (0, 4.0);
+}
+
+fn slow_phase(gate: Option<GateSettings>) -> Outcome {
+    let slow = Slow {
+        from: 4,
+        to: 8,
+        factor: 5.0,
+    };
+    run(Scenario {
+        secs: 13,
+        slow: Some(slow),
+        ..scenario(gate, SLOTS, 0.8)
+    })
+}
+
+#[test]
+fn goodput_returns_after_a_slow_phase() {
+    let outcome = slow_phase(gate());
+    assert_that!(outcome.recovery((1, 4), 8), le(RECOVERY));
+}
+
+#[test]
+fn without_a_gate_the_overload_outlasts_its_trigger() {
+    let outcome = slow_phase(None);
+    assert_that!(outcome.recovery((1, 4), 8), gt(RECOVERY));
+}
+
+#[test]
+fn without_importance_the_most_important_requests_are_shed_too() {
+    let outcome = run(scenario(Some(fixed_limit()), SLOTS, 4.0));
+    assert_that!(outcome.critical_share(4, 7), lt(CRITICAL_SHARE));
+}
+
+#[test]
+fn a_backend_server_that_sheds_is_not_given_up() {
+    let outcome = run(Scenario {
+        sheds_above: Some(SLOTS as usize / 4),
+        ..scenario(gate(), 4 * SLOTS, 2.0)
+    });
+    let fits = run(scenario(gate(), SLOTS, 1.0));
+    assert_that!(goodput(&outcome), ge(GOODPUT_SHARE * goodput(&fits)));
+}
