--- a/crates/rhubarblanding_admission/src/limit/control.rs
+++ b/crates/rhubarblanding_admission/src/limit/control.rs
@@ -8,10 +8,9 @@
 use super::window::{Sample, Window};
 use super::{LimitPolicy, LimitSettings};
 
-/// Throughput in percent that a lower limit has to keep.
-const LOWER_KEEPS_PERCENT: f64 = 90.0;
-/// Part of the added limit by which a higher limit has to raise the throughput.
-const HIGHER_GAINS_PART: f64 = 0.5;
+/// Part of the step of a trial up to which the throughput may follow a lower limit, and from
+/// which it has to follow a higher one.
+const TRIAL_PART: f64 = 0.5;
 /// Narrowest step of a trial of a higher limit, in percent of the limit.
 const HIGHER_MIN_PERCENT: u32 = 10;
 /// Shortest time until a new limit shows in the latency.
@@ -19,7 +18,7 @@
 /// Longest time until a new limit shows in the latency.
 const SETTLE_MAX: Duration = Duration::from_secs(1);
 /// Limit in percent of the lowest kept one that is set after a descent.
-const MARGIN_PERCENT: u32 = 115;
+const MARGIN_PERCENT: u32 = 120;
 /// Limit in percent that is left after the backend server shed a request.
 const SHED_LEAVES_PERCENT: u32 = 90;
 /// Part of the announced slots below which shedding does not push the limit.
@@ -199,27 +198,22 @@
         if !window.is_saturated() {
             return;
         }
-        if self.is_slow(&window) {
-            let percent = self.settings.lower_percent;
-            return self.try_lower(now, window.throughput(), percent, false);
-        }
-        if now >= self.next_lower {
-            let percent = self.settings.probe_percent;
-            return self.try_lower(now, window.throughput(), percent, false);
+        if self.is_slow(&window) || now >= self.next_lower {
+            return self.try_lower(now, window.throughput(), false);
         }
         if now >= self.next_higher {
             self.try_higher(now, window.throughput());
         }
     }
 
-    fn try_lower(&mut self, now: MonoTime, throughput: f64, percent: u32, descended: bool) {
+    fn try_lower(&mut self, now: MonoTime, throughput: f64, descended: bool) {
         let from = self.limit;
         self.phase = Phase::Lower {
             from,
             throughput,
             descended,
         };
-        self.set_limit(now, from * percent / 100);
+        self.set_limit(now, from * self.settings.lower_percent / 100);
     }
 
     fn try_higher(&mut self, now: MonoTime, throughput: f64) {
@@ -230,13 +224,14 @@
     }
 
     fn close_lower(&mut self, now: MonoTime, from: u32, before: f64, descended: bool) {
-        let kept = self.window.throughput() >= before * LOWER_KEEPS_PERCENT / 100.0;
+        let step = 1.0 - f64::from(self.limit) / f64::from(from.max(1));
+        let wanted = before * (1.0 - step * TRIAL_PART);
+        let kept = self.window.throughput() >= wanted;
         if kept && self.limit < from {
             let throughput = self.window.throughput();
             self.baselines.discard();
             self.lower_pause = self.settings.trial_pause;
-            let percent = self.settings.lower_percent;
-            return self.try_lower(now, throughput, percent, true);
+            return self.try_lower(now, throughput, true);
         }
         // The latency does not come from the concurrency, so it is the usual one from now on.
         self.baselines.adopt();
@@ -248,7 +243,7 @@
 
     fn close_higher(&mut self, now: MonoTime, from: u32, before: f64) {
         let step = f64::from(self.limit) / f64::from(from.max(1)) - 1.0;
-        let wanted = before * (1.0 + step * HIGHER_GAINS_PART);
+        let wanted = before * (1.0 + step * TRIAL_PART);
         let throughput = self.window.throughput();
         self.baselines.discard();
         if throughput >= wanted && self.limit > from {
--- a/crates/rhubarblanding_admission/src/limit/settings.rs
+++ b/crates/rhubarblanding_admission/src/limit/settings.rs
@@ -42,8 +42,6 @@
     pub tolerance_percent: u32,
     /// Limit in percent that a trial of a lower limit takes.
     pub lower_percent: u32,
-    /// Limit in percent that a trial without a rise of the latency takes.
-    pub probe_percent: u32,
     /// Widest step of a trial of a higher limit, in percent of the limit.
     pub higher_percent: u32,
     /// Shortest time between trials that were not kept.
@@ -64,7 +62,6 @@
             samples: 200,
             tolerance_percent: 175,
             lower_percent: 70,
-            probe_percent: 85,
             higher_percent: 50,
             trial_pause: Duration::from_secs(1),
             trial_pause_max: Duration::from_secs(16),
