End a keyed call at its deadline

Cause: a keyed call whose home did not answer before the deadline was sent to the copy with no time left. Ruled out: leaving it to the copy to refuse, which costs a message and tells the caller nothing more. Measured: not measured apart; the process tests cover keyed calls. Conclusion: the caller gets the final answer at the deadline.

--- a/crates/rhubarblanding_node/src/request/keyed.rs
+++ b/crates/rhubarblanding_node/src/request/keyed.rs
@@ -97,7 +97,9 @@
             };
             step = route.on_failure(failure);
             let again = matches!(step, RouteStep::Ask { .. });
-            if again && self.dispatch.spend(reason(failure)).is_err() {
+            let now = self.dispatch.node.clock.now();
+            let late = again && self.dispatch.cx.is_expired(now);
+            if late || again && self.dispatch.spend(reason(failure)).is_err() {
                 step = give_up(&mut route, failure);
             }
         }
