Submit tickets as the operator face takes them

The face wants a submission identifier around the ticket, the same for each repeat. A backend server behind a relay announces the relay's address, since a node refuses any address but the one in its settings.

--- a/tools/measure/src/system/mod.rs
+++ b/tools/measure/src/system/mod.rs
@@ -8,7 +8,8 @@
 use rhubarblanding_standins::error::StandinError;
 use rhubarblanding_standins::load::{LoadKind, LoadSettings, Phase, RetryMode, Route};
 use rhubarblanding_standins::process::{
-    Cluster, ClusterSettings, Programs, ServiceSettings, TicketFile, TicketKind, wait_until,
+    Cluster, ClusterSettings, Programs, ServiceSettings, Submission, TicketFile, TicketKind,
+    wait_until,
 };
 use serde::Serialize;
 use strum::{Display, EnumString};
@@ -140,9 +141,10 @@
     let Some(operator) = operators.first() else {
         return Ok(());
     };
+    let submission = Submission::new(ticket.clone());
     let mut last = String::new();
     let accepted = wait_until(READY_LIMIT, "ticket is accepted", async || {
-        match operator.submit(ticket).await {
+        match operator.submit(&submission).await {
             Ok(answer) if answer.status.is_success() => true,
             Ok(answer) => {
                 last = answer.text;
--- a/tools/standins/src/backend/mod.rs
+++ b/tools/standins/src/backend/mod.rs
@@ -127,12 +127,13 @@
             .change_context(StandinError::Listen)
             .attach_with(|| cfg.listen)?;
         let address = listener.local_addr().change_context(StandinError::Listen)?;
+        let announced = cfg.announced_address.unwrap_or(address);
         let shared = Arc::new(Shared::new(cfg));
         let (stop, stopped) = watch::channel(false);
         let server = tokio::spawn(serve(listener, shared.clone(), stopped));
         let announcer = shared
             .node
-            .map(|node| tokio::spawn(announce::announce_forever(shared.clone(), node, address)));
+            .map(|node| tokio::spawn(announce::announce_forever(shared.clone(), node, announced)));
         Ok(Self {
             address,
             shared,
--- a/tools/standins/src/backend/settings.rs
+++ b/tools/standins/src/backend/settings.rs
@@ -134,6 +134,8 @@
 pub struct BackendSettings {
     /// Address to listen on; port 0 takes a free one.
     pub listen: SocketAddr,
+    /// Address named in the announcement, if it is not the one listened on.
+    pub announced_address: Option<SocketAddr>,
     /// Requests that run at a time; others wait inside the backend server.
     pub slots: u32,
     /// Slots named in the announcement, if they differ from the real ones.
@@ -160,6 +162,7 @@
     fn default() -> Self {
         Self {
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            announced_address: None,
             slots: 4,
             announced_slots: None,
             shed_above: None,
--- a/tools/standins/src/command/backend.rs
+++ b/tools/standins/src/command/backend.rs
@@ -29,6 +29,11 @@
                 .value_parser(value_parser!(SocketAddr))
                 .help("Local face of the node"),
         )
+        .arg(
+            Arg::new("announced-address")
+                .long("announced-address")
+                .value_parser(value_parser!(SocketAddr)),
+        )
         .arg(number("slots").default_value("4"))
         .arg(number("announced-slots"))
         .arg(number("shed-above"))
@@ -89,6 +94,9 @@
     let mut args = vec!["backend".to_owned()];
     let mut flag = |name: &str, value: String| args.extend([format!("--{name}"), value]);
     flag("listen", cfg.listen.to_string());
+    if let Some(address) = cfg.announced_address {
+        flag("announced-address", address.to_string());
+    }
     flag("slots", cfg.slots.to_string());
     flag("service-time-us", cfg.service_time.as_micros().to_string());
     flag("distribution", cfg.distribution.to_string());
@@ -130,6 +138,7 @@
     let count = |name| one::<u64>(matches, name).map(|value| value as u32);
     BackendSettings {
         listen: one(matches, "listen").unwrap_or(default.listen),
+        announced_address: one(matches, "announced-address"),
         slots: count("slots").unwrap_or(default.slots),
         announced_slots: count("announced-slots"),
         shed_above: count("shed-above"),
--- a/tools/standins/src/process/host.rs
+++ b/tools/standins/src/process/host.rs
@@ -124,7 +124,9 @@
     ///
     /// [`StandinError::Process`] if it cannot be started.
     pub fn start_server(&mut self) -> Result<(), Report<StandinError>> {
-        let args = command::backend::args(&self.cfg.backend);
+        let mut cfg = self.cfg.backend.clone();
+        cfg.announced_address = self.cfg.backend_via;
+        let args = command::backend::args(&cfg);
         let name = format!("{}-backend", self.name);
         self.server = Some(ChildProcess::start_standin(&self.programs, &name, &args)?);
         Ok(())
--- a/tools/standins/src/process/mod.rs
+++ b/tools/standins/src/process/mod.rs
@@ -14,4 +14,4 @@
 pub use operator::{Operator, TicketAnswer};
 pub use ports::free_addresses;
 pub use programs::Programs;
-pub use ticket::{TicketBackend, TicketFile, TicketKind, TicketService};
+pub use ticket::{Submission, TicketBackend, TicketFile, TicketKind, TicketService};
--- a/tools/standins/src/process/operator.rs
+++ b/tools/standins/src/process/operator.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use super::ticket::TicketFile;
+use super::ticket::Submission;
 use crate::error::StandinError;
 use crate::http::{HttpClient, client, get_json, send_json};
 
@@ -64,8 +64,11 @@
     /// # Errors
     ///
     /// Fails if the node does not answer; a refused ticket is an answer.
-    pub async fn submit(&self, ticket: &TicketFile) -> Result<TicketAnswer, Report<StandinError>> {
-        self.post("/v1/tickets", ticket).await
+    pub async fn submit(
+        &self,
+        submission: &Submission,
+    ) -> Result<TicketAnswer, Report<StandinError>> {
+        self.post("/v1/tickets", submission).await
     }
 
     /// Asks the node to drain.
--- a/tools/standins/src/process/ticket.rs
+++ b/tools/standins/src/process/ticket.rs
@@ -4,6 +4,26 @@
 
 use rhubarblanding_core::importance::{Idempotency, Importance};
 use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+/// A ticket on its way to a node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Submission {
+    /// Identifier, the same for each repeat.
+    pub submission: Uuid,
+    /// The ticket.
+    pub ticket: TicketFile,
+}
+
+impl Submission {
+    /// New submission of `ticket`.
+    pub fn new(ticket: TicketFile) -> Self {
+        Self {
+            submission: Uuid::now_v7(),
+            ticket,
+        }
+    }
+}
 
 /// A ticket file.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/tools/standins/tests/process.rs
+++ b/tools/standins/tests/process.rs
@@ -53,6 +53,7 @@
 #[test]
 fn flags_of_a_backend_server_are_read_back() {
     let cfg = BackendSettings {
+        announced_address: Some("127.0.0.1:8".parse().unwrap()),
         slots: 7,
         announced_slots: Some(70),
         shed_above: Some(9),
