Stop all hosts of the example at once, and hand over only to a serving member

Cause: the example did not end within 120 s: its hosts stopped one after the other, and each waited 12 s for a home table without it, also when no other member was left. Ruled out: a hang of the listeners; each stop ended after its wait. Conclusion: a stop waits for a successor only while there is one.

--- a/crates/rhubarblanding_node/src/process/node.rs
+++ b/crates/rhubarblanding_node/src/process/node.rs
@@ -215,11 +215,20 @@
 /// ends at [`HAND_OVER_LIMIT`]; what is recorded here is recorded at the copies as well.
 async fn hand_over(node: &Arc<Shared>) {
     let give_up = node.clock.now() + HAND_OVER_LIMIT;
-    while node.once.is_needed() && node.clock.now() < give_up {
+    while node.once.is_needed() && has_successor(node) && node.clock.now() < give_up {
         tokio::time::sleep(HAND_OVER_POLL).await;
     }
 }
 
+/// Whether another target of the own service is known to serve.
+fn has_successor(node: &Shared) -> bool {
+    let own = node.settings.host();
+    let targets = node.with_member(|member| member.targets(&node.settings.service));
+    targets
+        .iter()
+        .any(|target| target.info.host != own && target.info.state == TargetState::Serving)
+}
+
 fn spawn_loops(node: &Arc<Shared>, inboxes: Inboxes, reporter: Option<Reporter>) -> JoinSet<()> {
     let mut loops = JoinSet::new();
     let (watch_tx, watch_rx) = watch::channel(false);
--- a/examples/litoral.rs
+++ b/examples/litoral.rs
@@ -315,9 +315,13 @@
         report.wrong_answers()
     );
     println!("store calls: {:?}", system.store.calls());
-    for host in system.hosts {
+    let stops = system.hosts.into_iter().map(|host| async {
         host.node.stop().await;
         host.backend.stop().await;
+    });
+    let stops: Vec<_> = stops.map(tokio::spawn).collect();
+    for stop in stops {
+        stop.await?;
     }
     Ok(doubled == 0 && report.wrong_answers() == 0)
 }
