Leave the first read of the document to the watchers

Cause: each starting node read the document from the platform's service; a mass restart at the target size would have made 6,700 reads at once. Ruled out: a jittered read, which at 2 s of jitter still exceeds the service's 2,000 reads/s. Conclusion: only the nodes chosen by the membership touch the document's key.

--- a/crates/rhubarblanding_node/src/process/documents.rs
+++ b/crates/rhubarblanding_node/src/process/documents.rs
@@ -32,15 +32,6 @@
     }
 }
 
-/// Reads the document once at the start, so that a node need not wait for its peers.
-pub async fn read_store(node: Arc<Shared>) {
-    let client = rhubarblanding_tickets::prelude::DocumentClient::new(node.store.clone());
-    match client.read().await {
-        Ok(stored) => adopt(&node, stored.document),
-        Err(_) => node.count(Event::StoreError),
-    }
-}
-
 /// Adopts a document if it is newer, and spreads it.
 pub fn adopt(node: &Arc<Shared>, document: Document) {
     let version = document.version();
--- a/crates/rhubarblanding_node/src/process/node.rs
+++ b/crates/rhubarblanding_node/src/process/node.rs
@@ -238,7 +238,6 @@
         inboxes.member,
         watch_tx,
     ));
-    loops.spawn(documents::read_store(Arc::clone(node)));
     loops.spawn(documents::watch_store(Arc::clone(node), watch_rx));
     loops.spawn(homes::send_messages(Arc::clone(node), inboxes.once));
     loops.spawn(Arc::clone(&node.gate).run());
