Decide on the newest document that a node knows, and complete the defects

A stale read made a submitter work in vain on a document older than the one its own node had in force; and if the service itself had gone back to an older copy, the next ticket would have been accepted under a version that no node adopts. Submitter::with_known takes the node's document.

--- a/crates/rhubarblanding_tickets/src/submit.rs
+++ b/crates/rhubarblanding_tickets/src/submit.rs
@@ -77,6 +77,7 @@
 pub struct Submitter {
     submission: SubmissionId,
     ticket: Arc<Ticket>,
+    known: Arc<Document>,
     state: State,
 }
 
@@ -87,10 +88,20 @@
         Self {
             submission,
             ticket,
+            known: Arc::default(),
             state: State::Reading,
         }
     }
 
+    /// Decides on `known`, a document that was stored before, wherever a read shows an older one.
+    ///
+    /// A stale read is then not worked on in vain. Should the key-value service itself have gone
+    /// back, for example to a copy of the day before, the next ticket brings back what was lost.
+    pub fn with_known(mut self, known: Arc<Document>) -> Self {
+        self.known = known;
+        self
+    }
+
     /// Identifier of the submission.
     pub fn submission(&self) -> SubmissionId {
         self.submission
@@ -128,7 +139,11 @@
         if !matches!(self.state, State::Reading) {
             return;
         }
-        self.state = match decide(&read.document, &self.ticket, self.submission) {
+        let newest = match self.known.version() > read.document.version() {
+            true => &self.known,
+            false => &read.document,
+        };
+        self.state = match decide(newest, &self.ticket, self.submission) {
             Decision::Settled(verdict) => State::Settled(verdict),
             Decision::Store { document, verdict } => State::Swapping {
                 expected: read.revision,
--- a/crates/rhubarblanding_tickets/tests/convergence/main.rs
+++ b/crates/rhubarblanding_tickets/tests/convergence/main.rs
@@ -3,8 +3,12 @@
 //!
 //! The number of cases is set by `RHUBARBLANDING_FUZZ_CASES`. Seeds are fixed.
 
+#![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
+
 mod actions;
+mod defect;
 mod oracle;
+mod scenario;
 mod store;
 mod world;
 
@@ -14,8 +18,10 @@
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
 use actions::Action;
+use defect::Defect;
 use oracle::{Tally, Violation};
-use world::{Defect, Scenario, World};
+use scenario::Scenario;
+use world::World;
 
 /// Cases of each test unless the environment says otherwise.
 const DEFAULT_CASES: u32 = 48;
@@ -141,6 +147,9 @@
     read_back_taken_for_final: (Defect::RefuseAfterReadBack, |v| matches!(v, Violation::RefusedButStored { .. }));
     fresh_identifier_for_each_try: (Defect::FreshIdentifier, |v| matches!(v, Violation::RefusedButStored { .. }));
     forgotten_taken_for_refused: (Defect::RefuseForgotten, |v| matches!(v, Violation::RefusedButStored { .. } | Violation::VerdictChanged { .. }));
+    submissions_not_recorded: (Defect::NoRecords, |v| matches!(v, Violation::VerdictChanged { .. }));
+    newest_state_never_read: (Defect::StaleReads, |v| matches!(v, Violation::NeverSettled { .. }));
+    first_document_kept: (Defect::AdoptOnce, |v| matches!(v, Violation::NodeLeftBehind { .. }));
     number_order_not_checked: (Defect::IgnoreNumbers, |v| matches!(v, Violation::AcceptedButReplaced { .. }));
 }
 
--- a/crates/rhubarblanding_tickets/tests/convergence/world.rs
+++ b/crates/rhubarblanding_tickets/tests/convergence/world.rs
@@ -1,57 +1,21 @@
 //! Operators, nodes and the key-value service in one state machine.
 
-#![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
-
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 
 use rhubarblanding_core::prelude::*;
-use rhubarblanding_tickets::document::HISTORY_MAX;
 use rhubarblanding_tickets::prelude::*;
 use rhubarblanding_tickets::submit::{Step, SwapResult};
-use serde_json::json;
 
 use crate::actions::{Action, Fault, NODES, NUMBERS, OPERATORS};
+use crate::defect::{Defect, guessed_refusal, without_numbers, without_records};
 use crate::oracle::{Shown, Submission, Tally, Told, Violation};
+use crate::scenario::{FILLERS, Scenario, almost_full_document, ticket};
 use crate::store::Store;
 
 /// Steps within which a submission must settle without faults.
 const SETTLE_STEPS: usize = 8;
 
-/// Mechanism that is switched off, so that the oracle has something to catch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Defect {
-    None,
-    /// Writes do not compare the revision.
-    BlindPut,
-    /// Nodes adopt any document.
-    AdoptLower,
-    /// A lost answer counts as stored.
-    GuessStored,
-    /// A lost answer counts as refused.
-    GuessRefused,
-    /// A document that is read back without the submission counts as proof that it is refused.
-    RefuseAfterReadBack,
-    /// Each try after a lost answer has an identifier of its own.
-    FreshIdentifier,
-    /// The numbers of what a ticket touches are not compared.
-    IgnoreNumbers,
-    /// A submission whose record is forgotten counts as refused.
-    RefuseForgotten,
-}
-
-/// State in which a case begins.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scenario {
-    /// There is no document yet.
-    Fresh,
-    /// The document's memory of submissions is almost full.
-    FullMemory,
-}
-
-/// Records in the document of [`Scenario::FullMemory`]; their numbers lie above all others.
-const FILLERS: u64 = HISTORY_MAX as u64 - 1;
-
-/// An operator and the submitter that works for it.
+/// An operator and the submitter that works for it, at the node of the same position.
 #[derive(Debug, Default)]
 struct Operator {
     active: Option<(Submission, Submitter)>,
@@ -79,46 +43,6 @@
     last_identifier: u128,
 }
 
-fn service_name(index: usize) -> String {
-    format!("service-{index}")
-}
-
-/// A ticket whose content differs from that of any other `serial`.
-fn ticket(number: u64, serial: u128, set: &[bool], removed: &[bool]) -> Ticket {
-    let kind = json!({"name": format!("kind-{serial}"), "method": "GET", "path": "/",
-        "idempotency": "idempotent"});
-    let chosen = |of: &[bool]| -> Vec<usize> { (0..of.len()).filter(|i| of[*i]).collect() };
-    let services: serde_json::Map<_, _> = chosen(set)
-        .into_iter()
-        .map(|i| (service_name(i), json!({"kinds": [kind]})))
-        .collect();
-    let removed: Vec<_> = chosen(removed)
-        .into_iter()
-        .filter(|i| !set[*i])
-        .map(service_name)
-        .collect();
-    let raw = json!({"ticket": number, "services": services, "remove_services": removed});
-    Ticket::from_json(raw.to_string().as_bytes()).expect("valid")
-}
-
-/// A document whose memory takes a few more submissions before it forgets the lowest number.
-fn almost_full_document() -> Document {
-    static DOCUMENT: OnceLock<Document> = OnceLock::new();
-    let filler = |number: u64| Ticket {
-        number: TicketNumber(number),
-        services: Default::default(),
-        remove_services: [ServiceName::try_from("filler").expect("a name")].into(),
-    };
-    let fill = || {
-        let numbers = NUMBERS + 1..=NUMBERS + FILLERS;
-        numbers.fold(Document::default(), |document, number| {
-            let id = SubmissionId(uuid::Uuid::from_u128(number.into()));
-            apply(&document, &filler(number), id).expect("accepted")
-        })
-    };
-    DOCUMENT.get_or_init(fill).clone()
-}
-
 impl World {
     pub fn new(scenario: Scenario, defect: Defect) -> Self {
         let mut world = Self {
@@ -198,7 +122,8 @@
     }
 
     fn start(&mut self, operator: usize, submission: Submission) {
-        let submitter = Submitter::new(submission.id, submission.ticket.clone());
+        let known = self.nodes[operator].adopter.current().clone();
+        let submitter = Submitter::new(submission.id, submission.ticket.clone()).with_known(known);
         self.operators[operator] = Operator {
             active: Some((submission, submitter)),
             lost: false,
@@ -250,9 +175,17 @@
         if self.store.outage {
             return (false, None);
         }
+        let age = match self.defect {
+            Defect::StaleReads => age.max(1),
+            _ => age,
+        };
         let mut read = self.store.read(age);
-        if self.defect == Defect::IgnoreNumbers {
-            read.document = without_numbers(&read.document, submitter.ticket());
+        match self.defect {
+            Defect::IgnoreNumbers => {
+                read.document = without_numbers(&read.document, submitter.ticket());
+            }
+            Defect::NoRecords => read.document = without_records(&read.document),
+            _ => {}
         }
         submitter.on_read(&read);
         let lost = std::mem::take(&mut self.operators[operator].lost);
@@ -310,8 +243,10 @@
 
     fn offer(&mut self, node: usize, document: Document) -> Result<(), Violation> {
         let state = &mut self.nodes[node];
-        if self.defect == Defect::AdoptLower {
-            state.adopter = Adopter::new();
+        match self.defect {
+            Defect::AdoptLower => state.adopter = Adopter::new(),
+            Defect::AdoptOnce if state.adopter.version() > DocVersion(0) => return Ok(()),
+            _ => {}
         }
         state.adopter.offer(document);
         state.shown.note(node, state.adopter.current())
@@ -351,22 +286,3 @@
         Ok(())
     }
 }
-
-fn guessed_refusal() -> Verdict {
-    Verdict::Refused {
-        reason: TicketRefusal::NumberTooLow {
-            above: TicketNumber(0),
-        },
-    }
-}
-
-/// The document as if all that the ticket touches had been set by tickets numbered zero.
-fn without_numbers(document: &Document, ticket: &Ticket) -> Document {
-    let mut raw = serde_json::to_value(document).expect("serializes");
-    for name in ticket.touched() {
-        if let Some(entry) = raw["services"].get_mut(name.as_str()) {
-            entry["set_by"]["ticket"] = json!(0);
-        }
-    }
-    Document::from_bytes(raw.to_string().as_bytes()).expect("a document")
-}
--- a/crates/rhubarblanding_tickets/tests/document.rs
+++ b/crates/rhubarblanding_tickets/tests/document.rs
@@ -2,11 +2,15 @@
 
 #![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
 
+use std::sync::Arc;
+
 use googletest::prelude::*;
 use rhubarblanding_core::prelude::*;
+use rhubarblanding_store::Revision;
 use rhubarblanding_tickets::document::{Decision, HISTORY_MAX, SettledVerdict, decide};
 use rhubarblanding_tickets::operator::TicketAnswer;
 use rhubarblanding_tickets::prelude::*;
+use rhubarblanding_tickets::submit::{Step, StoredDocument};
 use serde_json::json;
 
 fn name(raw: &str) -> ServiceName {
@@ -188,6 +192,25 @@
     assert_that!(verdict_of(&smaller, &third, 3), some(eq(&refused)));
 }
 
+/// The key-value service was set back to an older state; a node still has the newest document.
+#[test]
+fn known_document_brings_back_what_the_service_lost() {
+    let one = accept(&Document::default(), &ticket(1, &["a"], &[]), 1);
+    let two = accept(&one, &ticket(2, &["b"], &[]), 2);
+    let third = Arc::new(ticket(3, &["c"], &[]));
+    let mut submitter = Submitter::new(id(3), third).with_known(Arc::new(two));
+    submitter.on_read(&StoredDocument {
+        revision: Revision(9),
+        document: one,
+    });
+    let Step::Swap { expected, document } = submitter.step() else {
+        panic!("{:?}", submitter.step());
+    };
+    assert_that!(expected, eq(Revision(9)));
+    assert_that!(document.version(), eq(DocVersion(3)));
+    assert_that!(document.service(&name("b")), some(anything()));
+}
+
 #[test]
 fn unknown_format_and_nonsense_are_told() {
     let newer = br#"{"format": 2, "something": "else"}"#;
--- a/src/cli/submit.rs
+++ b/src/cli/submit.rs
@@ -43,6 +43,8 @@
         },
         deadline: Instant::now() + Duration::from_secs(wait),
     };
+    // Should this program be ended early, the operator can ask again.
+    output::complain(format!("submission {}", submission.req.submission));
     let outcome = submission.settle().await;
     report(&submission.req, outcome, command::wants_json(matches))
 }
