--- a/tools/standins/src/backend/mod.rs
+++ b/tools/standins/src/backend/mod.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod control;
 mod query;
+mod remote;
 mod runs;
 mod service_time;
 mod settings;
@@ -31,6 +32,7 @@
 
 pub use announce::Announcement;
 pub use control::{Control, ControlChange, CounterValues, Counters};
+pub use remote::RemoteBackend;
 pub use runs::{Run, RunLog};
 pub use settings::{BackendSettings, CallPlan, CallSettings, DirectTarget, Distribution};
 
@@ -125,12 +127,13 @@
             .change_context(StandinError::Listen)
             .attach_with(|| cfg.listen)?;
         let address = listener.local_addr().change_context(StandinError::Listen)?;
+        let announced = cfg.announced_address.unwrap_or(address);
         let shared = Arc::new(Shared::new(cfg));
         let (stop, stopped) = watch::channel(false);
         let server = tokio::spawn(serve(listener, shared.clone(), stopped));
         let announcer = shared
             .node
-            .map(|node| tokio::spawn(announce::announce_forever(shared.clone(), node, address)));
+            .map(|node| tokio::spawn(announce::announce_forever(shared.clone(), node, announced)));
         Ok(Self {
             address,
             shared,
