--- a/crates/rhubarblanding_tickets/src/operator/tickets.rs
+++ b/crates/rhubarblanding_tickets/src/operator/tickets.rs
@@ -90,7 +90,7 @@
 }
 
 /// Answer to a request that is malformed or cannot be served.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct OperatorError {
     /// What went wrong, in one sentence.
     pub error: String,
--- a/crates/rhubarblanding_tickets/src/ticket/error.rs
+++ b/crates/rhubarblanding_tickets/src/ticket/error.rs
@@ -66,7 +66,7 @@
 }
 
 /// A field that cannot be accepted, as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct FieldError {
     /// Path of the field, such as `services.turnos.kinds[0].weight`.
     pub path: String,
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -24,7 +24,7 @@
 const ANSWER_MAX_BYTES: usize = 16 << 20;
 
 /// Why a call gave no answer of the expected form.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum CallError {
     /// The node was not reached; it saw nothing of the call.
     NotReached,
--- a/src/cli/submit.rs
+++ b/src/cli/submit.rs
@@ -1,11 +1,14 @@
 //! `ticket submit`: sends a ticket until its outcome is known.
 
 use std::io::Read;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use clap::ArgMatches;
 use http::Method;
+use rhubarblanding_core::collections::HashSet;
+use rhubarblanding_core::ids::TicketNumber;
 use rhubarblanding_tickets::operator::{SubmitAnswer, SubmitRequest, TICKETS_PATH};
 use rhubarblanding_tickets::prelude::*;
 use uuid::Uuid;
@@ -70,8 +73,10 @@
 
 /// What came of asking the nodes.
 enum Outcome {
+    /// A node told the verdict.
     Answered(SubmitAnswer),
-    Rejected(Exit),
+    /// A node called the submission faulty.
+    Rejected,
     /// No node can have seen the submission.
     Unreachable,
     /// A node may have seen it.
@@ -89,9 +94,10 @@
     /// it safe to ask another node after a lost answer.
     async fn settle(&self) -> Outcome {
         let mut last = Outcome::Unreachable;
+        let mut complaints = HashSet::default();
         loop {
             for client in &self.clients {
-                match self.ask(client).await {
+                match self.ask(client, &mut complaints).await {
                     Outcome::Unreachable => {}
                     Outcome::Open => last = Outcome::Open,
                     Outcome::Answered(answer) if answer.verdict == Verdict::NotYetKnown => {
@@ -107,16 +113,24 @@
         }
     }
 
-    async fn ask(&self, client: &OperatorClient) -> Outcome {
+    /// Asks one node. The same complaint about a node is printed once.
+    async fn ask(
+        &self,
+        client: &OperatorClient,
+        complaints: &mut HashSet<(SocketAddr, CallError)>,
+    ) -> Outcome {
         let answer: CallResult<SubmitAnswer> =
             client.send(Method::POST, TICKETS_PATH, &self.req).await;
         let report = match answer {
             Ok(answer) => return Outcome::Answered(answer),
             Err(report) => report,
         };
-        let exit = client::complain(client.addr(), &report);
-        match report.current_context() {
-            CallError::Rejected(_) => Outcome::Rejected(exit),
+        let error = report.current_context();
+        if complaints.insert((client.addr(), error.clone())) {
+            client::complain(client.addr(), &report);
+        }
+        match error {
+            CallError::Rejected(_) => Outcome::Rejected,
             CallError::NotReached => Outcome::Unreachable,
             CallError::AnswerLost | CallError::NotUnderstood(_) => Outcome::Open,
         }
@@ -126,11 +140,11 @@
 fn report(req: &SubmitRequest, outcome: Outcome, json: bool) -> Exit {
     let answer = match outcome {
         Outcome::Answered(answer) => answer,
-        Outcome::Rejected(exit) => return exit,
+        Outcome::Rejected => return Exit::BadInput,
         Outcome::Unreachable => return Exit::Unreachable,
         Outcome::Open => SubmitAnswer {
             submission: req.submission,
-            ticket: rhubarblanding_core::ids::TicketNumber(req.ticket.ticket),
+            ticket: TicketNumber(req.ticket.ticket),
             verdict: Verdict::NotYetKnown,
         },
     };
--- a/tests/cli.rs
+++ b/tests/cli/main.rs
@@ -2,31 +2,18 @@
 
 #![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
 
-use std::net::{SocketAddr, TcpListener};
-use std::path::Path;
-use std::process::{Child, Command};
-use std::time::{Duration, Instant};
+mod in_force;
+mod node;
+
+use std::net::SocketAddr;
 
 use googletest::prelude::*;
 use rhubarblanding_standins::store::{Faults, StoreServer};
 use serde_json::Value;
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_rhubarblanding");
-const LITORAL: &str = "examples/tickets/litoral.json";
+use node::{LITORAL, Node, ended, numbered};
+
 const KERALA: &str = "examples/tickets/kerala.json";
-const START_LIMIT: Duration = Duration::from_secs(10);
-
-/// Runs the program and returns its exit code, standard output and standard error.
-fn ended(args: &[&str]) -> (i32, String, String) {
-    let output = Command::new(PROGRAM)
-        .args(args)
-        .env_remove("RHUBARBLANDING_OPERATOR")
-        .output()
-        .expect("the program runs");
-    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-    let code = output.status.code().expect("an exit code");
-    (code, text(&output.stdout), text(&output.stderr))
-}
 
 fn ends_with_code(args: &[&str], code: i32, told: &str) {
     let (found, out, err) = ended(args);
@@ -59,57 +46,6 @@
     nobody_to_drain: (&["drain", "--operator", "127.0.0.1:1"], 4, "cannot be reached");
 }
 
-/// A node process, ended when dropped.
-struct Node {
-    child: Child,
-    operator: String,
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        // The process may have ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address").to_string()
-}
-
-impl Node {
-    fn start(store: SocketAddr) -> Self {
-        let operator = free_address();
-        let child = Command::new(PROGRAM)
-            .args(["node", "--service", "egresos", "--zone", "ros"])
-            .args(["--caller-listen", &free_address()])
-            .args(["--local-listen", &free_address()])
-            .args(["--peer-listen", &free_address()])
-            .args(["--operator-listen", &operator])
-            .args(["--backend", &free_address()])
-            .args(["--store", &store.to_string()])
-            .args(["--log-level", "error"])
-            .spawn()
-            .expect("the node starts");
-        let node = Self { child, operator };
-        let began = Instant::now();
-        while ended(&["status", "--operator", &node.operator]).0 != 0 {
-            assert_that!(began.elapsed(), lt(START_LIMIT));
-            std::thread::sleep(Duration::from_millis(50));
-        }
-        node
-    }
-
-    /// Runs a subcommand against this node and returns its exit code and JSON answer.
-    fn call(&self, args: &[&str]) -> (i32, Value) {
-        let to = ["--operator", self.operator.as_str(), "--json"];
-        let (code, out, err) = ended(&[args, &to].concat());
-        let answer = serde_json::from_str(&out);
-        (code, answer.unwrap_or_else(|e| panic!("{e}: {out}{err}")))
-    }
-}
-
 /// Runs a blocking test next to a key-value service.
 async fn beside_a_store(test: fn(&StoreServer)) {
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -119,17 +55,6 @@
         .expect("no panic");
 }
 
-/// A copy of the example ticket with another number.
-fn numbered(number: u64) -> String {
-    let text = std::fs::read_to_string(LITORAL).expect("the example");
-    let mut ticket: Value = serde_json::from_str(&text).expect("JSON");
-    ticket["ticket"] = number.into();
-    let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
-    let path = dir.join(format!("ticket-{number}.json"));
-    std::fs::write(&path, ticket.to_string()).expect("a file");
-    path.display().to_string()
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn ticket_goes_through_a_node() {
     beside_a_store(|store| {
