--- a/src/cli/ticket.rs
+++ b/src/cli/ticket.rs
@@ -83,6 +83,9 @@
     if let Some(submission) = answer.submission {
         output::line(format!("submission {submission}"));
     }
+    if matches!(answer.verdict, Verdict::Accepted { .. }) && answer.in_force.is_empty() {
+        output::line("later tickets have replaced all that it set");
+    }
 }
 
 fn print_service(name: &str, spec: &ServiceSpec) {
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -81,6 +81,11 @@
         assert_that!(code, eq(0));
         assert_that!(status["nodes"][0]["in_force"], eq(&Value::from(true)));
         assert_that!(node.call(&["ticket", "status", "6"]).0, eq(3));
+
+        assert_that!(node.call(&["ticket", "submit", &numbered(7)]).0, eq(0));
+        let (code, shown, _) = ended(&["ticket", "show", "5", "--operator", node.operator()]);
+        assert_that!(code, eq(0));
+        assert_that!(shown, contains_substring("later tickets have replaced"));
     })
     .await;
 }
