Log arrivals at backend servers, and plan a cluster before its start

Retries can only be counted where sheds count too, so the run log holds arrivals beside runs. A plan lets a test put a relay before a peer face or a backend server. A backend server can be told to fail or shed at run time.

--- a/tools/measure/src/overload/mod.rs
+++ b/tools/measure/src/overload/mod.rs
@@ -123,7 +123,10 @@
 }
 
 fn bottom(runs: &[Run], prefix: &str, report: &LoadReport) -> BottomFigures {
-    let of_load = || runs.iter().filter(|run| run.request_id.starts_with(prefix));
+    let of_load = || {
+        let began = runs.iter().filter(|run| run.runs > 0);
+        began.filter(|run| run.request_id.starts_with(prefix))
+    };
     let distinct: HashSet<&str> = of_load().map(|run| run.request_id.as_str()).collect();
     BottomFigures {
         arrived: 0,
--- a/tools/standins/src/backend/control.rs
+++ b/tools/standins/src/backend/control.rs
@@ -23,6 +23,10 @@
     pub announce: Option<bool>,
     /// Whether the backend server asks its node to drain.
     pub drain: Option<bool>,
+    /// Whether every request fails after its work.
+    pub fail: Option<bool>,
+    /// Requests, running or waiting, above which the backend server sheds.
+    pub shed_above: Option<u32>,
 }
 
 /// Behaviour in force.
@@ -40,6 +44,10 @@
     pub announce: bool,
     /// Whether the backend server is leaving.
     pub drain: bool,
+    /// Whether every request fails after its work.
+    pub fail: bool,
+    /// Requests, running or waiting, above which the backend server sheds.
+    pub shed_above: Option<u32>,
 }
 
 impl Control {
@@ -52,6 +60,8 @@
             healthy: true,
             announce: true,
             drain: false,
+            fail: false,
+            shed_above: cfg.shed_above,
         }
     }
 
@@ -68,6 +78,8 @@
         self.healthy = change.healthy.unwrap_or(self.healthy);
         self.announce = change.announce.unwrap_or(self.announce);
         self.drain = change.drain.unwrap_or(self.drain);
+        self.fail = change.fail.unwrap_or(self.fail);
+        self.shed_above = change.shed_above.or(self.shed_above);
         self
     }
 }
--- a/tools/standins/src/backend/mod.rs
+++ b/tools/standins/src/backend/mod.rs
@@ -58,7 +58,6 @@
     counters: Counters,
     runs: RunLog,
     slots: Arc<Slots>,
-    shed_above: Option<u32>,
     check_deadline: bool,
     service_times: ServiceTimes,
     calls: Calls,
@@ -72,7 +71,6 @@
             counters: Counters::default(),
             runs: RunLog::default(),
             slots: Arc::new(Slots::new(cfg.slots)),
-            shed_above: cfg.shed_above,
             check_deadline: cfg.check_deadline,
             service_times: ServiceTimes::new(&cfg),
             node: cfg.calls.node,
@@ -88,7 +86,8 @@
     }
 
     fn is_over_limit(&self) -> bool {
-        self.shed_above
+        self.control()
+            .shed_above
             .is_some_and(|limit| self.slots.inside() > limit)
     }
 
@@ -148,7 +147,7 @@
         self.address
     }
 
-    /// All runs so far.
+    /// All requests so far with their runs.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.runs.all()
     }
--- a/tools/standins/src/backend/remote.rs
+++ b/tools/standins/src/backend/remote.rs
@@ -31,7 +31,7 @@
         self.address
     }
 
-    /// All runs so far.
+    /// All requests so far with their runs.
     ///
     /// # Errors
     ///
--- a/tools/standins/src/backend/work.rs
+++ b/tools/standins/src/backend/work.rs
@@ -79,6 +79,9 @@
     if http_body_util::BodyExt::collect(body).await.is_err() {
         return bytes_answer(StatusCode::BAD_REQUEST, "body cut short");
     }
+    let request_id = header_text(&parts.headers, headers::REQUEST_ID).unwrap_or("none");
+    let key = header_text(&parts.headers, headers::IDEMPOTENCY_KEY);
+    shared.runs.arrive(request_id, key);
     let presence = shared.slots.enter();
     if shared.is_over_limit() {
         count(&shared.counters.shed);
@@ -91,20 +94,18 @@
         count(&shared.counters.expired);
         return not_run("the deadline passed before the start");
     }
-    let job = begin(&shared, &parts.headers, &query, presence, slot);
+    let job = begin(&shared, request_id, &query, presence, slot);
     run(shared, job, query, &parts, arrived).await
 }
 
 fn begin(
     shared: &Arc<Shared>,
-    headers: &HeaderMap,
+    request_id: &str,
     query: &WorkQuery,
     presence: Presence,
     slot: OwnedSemaphorePermit,
 ) -> Job {
-    let request_id = header_text(headers, headers::REQUEST_ID).unwrap_or("none");
-    let key = header_text(headers, headers::IDEMPOTENCY_KEY);
-    shared.runs.begin(request_id, key);
+    shared.runs.begin(request_id);
     count(&shared.counters.started);
     Job {
         request_id: request_id.to_owned(),
@@ -136,6 +137,10 @@
         job.fail();
         return failed_call(&failure);
     }
+    if shared.control().fail {
+        job.fail();
+        return bytes_answer(StatusCode::INTERNAL_SERVER_ERROR, "told to fail");
+    }
     let body = answer::whole(&job.request_id, &query.path, query.bytes);
     job.complete();
     bytes_answer(StatusCode::OK, body)
--- a/tools/standins/src/process/cluster.rs
+++ b/tools/standins/src/process/cluster.rs
@@ -5,49 +5,21 @@
 
 use error_stack::{Report, ResultExt};
 use http::{Method, StatusCode};
-use rhubarblanding_core::names::{ServiceName, ZoneName};
+use rhubarblanding_core::names::ServiceName;
 
 use super::child::ChildProcess;
-use super::host::{Host, HostSettings, NodeAddresses};
-use super::ports::free_addresses;
+use super::host::Host;
+use super::plan::{ClusterPlan, ClusterSettings};
 use super::programs::Programs;
-use crate::backend::{BackendSettings, DirectTarget, Run};
+use crate::backend::Run;
 use crate::error::StandinError;
 use crate::headers;
 use crate::http::{client, get_json, send_json};
 use crate::store::{Calls, Faults};
 
-/// Number of listen addresses of one host.
-const ADDRESSES_PER_HOST: usize = 5;
-/// Number of nodes that are named to the others as first contact.
-const SEEDS: usize = 2;
 /// Time between two looks at a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// One service of a cluster.
-#[derive(Clone, Debug)]
-pub struct ServiceSettings {
-    /// Name of the service.
-    pub name: ServiceName,
-    /// Number of hosts.
-    pub hosts: usize,
-    /// Settings of its backend servers; addresses are filled in.
-    pub backend: BackendSettings,
-}
-
-/// Settings of a cluster.
-#[derive(Clone, Debug, Default)]
-pub struct ClusterSettings {
-    /// Services.
-    pub services: Vec<ServiceSettings>,
-    /// Availability zones, given to the hosts in turn.
-    pub zones: Vec<ZoneName>,
-    /// Whether backend servers call each other without nodes.
-    pub without_nodes: bool,
-    /// Further flags of each node.
-    pub node_args: Vec<String>,
-}
-
 /// A running cluster; dropping it ends its processes.
 #[derive(Debug)]
 pub struct Cluster {
@@ -65,11 +37,23 @@
     ///
     /// [`StandinError::Process`] if a process cannot be started.
     pub fn start(programs: &Programs, cfg: &ClusterSettings) -> Result<Self, Report<StandinError>> {
-        let plan = plan(cfg)?;
+        Self::start_plan(programs, ClusterPlan::new(cfg)?)
+    }
+
+    /// Starts all processes as planned.
+    ///
+    /// # Errors
+    ///
+    /// [`StandinError::Process`] if a process cannot be started.
+    pub fn start_plan(
+        programs: &Programs,
+        plan: ClusterPlan,
+    ) -> Result<Self, Report<StandinError>> {
         let store_address = plan.store;
-        let store = match cfg.without_nodes {
-            true => None,
-            false => Some(start_store(programs, store_address)?),
+        let with_nodes = plan.hosts.iter().any(|host| host.node.is_some());
+        let store = match with_nodes {
+            true => Some(start_store(programs, store_address)?),
+            false => None,
         };
         let hosts = plan
             .hosts
@@ -151,7 +135,7 @@
         Ok(())
     }
 
-    /// Runs of all backend servers of `service`; those that were ended are left out.
+    /// Requests that reached the backend servers of `service`; those that were ended are left out.
     ///
     /// # Errors
     ///
@@ -230,82 +214,6 @@
     matches!(answer, Ok(Ok(answer)) if answer.status() == StatusCode::OK)
 }
 
-/// Addresses and settings of every process before the start.
-struct Plan {
-    store: SocketAddr,
-    hosts: Vec<HostSettings>,
-}
-
-fn plan(cfg: &ClusterSettings) -> Result<Plan, Report<StandinError>> {
-    let count: usize = cfg.services.iter().map(|service| service.hosts).sum();
-    let mut addresses = free_addresses(1 + ADDRESSES_PER_HOST * count)?.into_iter();
-    let mut next = || {
-        let missing = || Report::new(StandinError::Listen).attach("too few ports");
-        addresses.next().ok_or_else(missing)
-    };
-    let store = next()?;
-    let mut hosts = Vec::new();
-    for service in &cfg.services {
-        for _ in 0..service.hosts {
-            let node = NodeAddresses {
-                caller: next()?,
-                local: next()?,
-                peer: next()?,
-                operator: next()?,
-            };
-            hosts.push(host(cfg, service, hosts.len(), node, next()?, store)?);
-        }
-    }
-    connect(&mut hosts);
-    Ok(Plan { store, hosts })
-}
-
-fn host(
-    cfg: &ClusterSettings,
-    service: &ServiceSettings,
-    index: usize,
-    node: NodeAddresses,
-    listen: SocketAddr,
-    store: SocketAddr,
-) -> Result<HostSettings, Report<StandinError>> {
-    let no_zone = || Report::new(StandinError::Settings).attach("zones: at least one is needed");
-    let zone = cfg.zones.get(index % cfg.zones.len().max(1));
-    let node = (!cfg.without_nodes).then_some(node);
-    let mut backend = service.backend.clone();
-    backend.listen = listen;
-    backend.seed = backend.seed.wrapping_add(index as u64);
-    backend.calls.node = node.map(|node| node.local);
-    Ok(HostSettings {
-        service: service.name.clone(),
-        zone: zone.ok_or_else(no_zone)?.clone(),
-        node,
-        backend_via: None,
-        seeds: Vec::new(),
-        store,
-        backend,
-        node_args: cfg.node_args.clone(),
-    })
-}
-
-/// Tells the hosts of each other.
-fn connect(hosts: &mut [HostSettings]) {
-    let nodes = hosts.iter().filter_map(|host| host.node);
-    let seeds: Vec<SocketAddr> = nodes.map(|node| node.peer).take(SEEDS).collect();
-    let direct: Vec<DirectTarget> = hosts
-        .iter()
-        .map(|host| DirectTarget {
-            service: host.service.clone(),
-            address: host.backend.listen,
-        })
-        .collect();
-    for host in hosts {
-        match host.node {
-            Some(_) => host.seeds = seeds.clone(),
-            None => host.backend.calls.direct = direct.clone(),
-        }
-    }
-}
-
 fn start_store(
     programs: &Programs,
     address: SocketAddr,
--- a/tools/standins/src/process/host.rs
+++ b/tools/standins/src/process/host.rs
@@ -36,6 +36,8 @@
     pub node: Option<NodeAddresses>,
     /// Address at which the node reaches the backend server, if it is not the real one.
     pub backend_via: Option<SocketAddr>,
+    /// Address at which other nodes reach the node, if it is not the real one.
+    pub peer_via: Option<SocketAddr>,
     /// Peer addresses of nodes to contact first.
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's key-value service.
@@ -55,6 +57,9 @@
         flag("caller-listen", node.caller.to_string());
         flag("local-listen", node.local.to_string());
         flag("peer-listen", node.peer.to_string());
+        if let Some(via) = self.peer_via {
+            flag("peer-advertise", via.to_string());
+        }
         flag("operator-listen", node.operator.to_string());
         let backend = self.backend_via.unwrap_or(self.backend.listen);
         flag("backend", backend.to_string());
