--- a/tools/standins/src/process/cluster.rs
+++ b/tools/standins/src/process/cluster.rs
@@ -6,6 +6,7 @@
 use error_stack::{Report, ResultExt};
 use http::{Method, StatusCode};
 use rhubarblanding_core::names::ServiceName;
+use uuid::Uuid;
 
 use super::child::ChildProcess;
 use super::host::Host;
@@ -112,7 +113,7 @@
         Ok(())
     }
 
-    /// Waits until a request at `path` succeeds through every node for every service.
+    /// Waits until a read and a keyed write at `path` succeed through every node for every service.
     ///
     /// # Errors
     ///
@@ -129,7 +130,10 @@
             for service in &services {
                 let what = format!("{service} answers through {entry}");
                 let path = format!("/{service}{path}");
-                wait_until(limit, &what, async || answers(entry, &path).await).await?;
+                for method in [Method::GET, Method::POST] {
+                    let answers = async || answers(&method, entry, &path).await;
+                    wait_until(limit, &what, answers).await?;
+                }
             }
         }
         Ok(())
@@ -202,10 +206,13 @@
     Ok(())
 }
 
-async fn answers(entry: SocketAddr, path: &str) -> bool {
+async fn answers(method: &Method, entry: SocketAddr, path: &str) -> bool {
     let client = client();
-    let req = http::Request::get(format!("http://{entry}{path}"))
+    let req = http::Request::builder()
+        .method(method)
+        .uri(format!("http://{entry}{path}"))
         .header(headers::REQUEST_ID, "probe")
+        .header(headers::IDEMPOTENCY_KEY, Uuid::now_v7().to_string())
         .body(http_body_util::Full::default());
     let Ok(req) = req else {
         return false;
