--- a/tools/measure/src/system/mod.rs
+++ b/tools/measure/src/system/mod.rs
@@ -27,6 +27,9 @@
 /// Time for all processes to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
+/// Time for which writes must succeed before a measurement begins.
+const STEADY: Duration = Duration::from_secs(2);
+
 /// A system to measure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Display, EnumString)]
 #[serde(rename_all = "kebab-case")]
@@ -84,6 +87,7 @@
         if system == System::Nodes {
             submit(&cluster, &ticket(preset)).await?;
             cluster.wait_serving("/probe", READY_LIMIT).await?;
+            cluster.wait_steady("/probe", STEADY, READY_LIMIT).await?;
         }
         Ok(Self {
             system,
--- a/tools/standins/src/process/cluster.rs
+++ b/tools/standins/src/process/cluster.rs
@@ -139,6 +139,34 @@
         Ok(())
     }
 
+    /// Waits until keyed writes to every service have succeeded through every node for `time`.
+    ///
+    /// The table of homes for idempotency keys changes a few times while nodes join.
+    ///
+    /// # Errors
+    ///
+    /// [`StandinError::Timeout`] if that takes longer than `limit`.
+    pub async fn wait_steady(
+        &self,
+        path: &str,
+        time: Duration,
+        limit: Duration,
+    ) -> Result<(), Report<StandinError>> {
+        let mut since = Instant::now();
+        wait_until(limit, "writes succeed steadily", async || {
+            for entry in self.entries() {
+                for host in &self.hosts {
+                    let path = format!("/{}{path}", host.cfg.service);
+                    if !answers(&Method::POST, entry, &path).await {
+                        since = Instant::now();
+                    }
+                }
+            }
+            since.elapsed() >= time
+        })
+        .await
+    }
+
     /// Requests that reached the backend servers of `service`; those that were ended are left out.
     ///
     /// # Errors
