Give confirmed stops a margin, and bound the size of the table

Cause: a member that is confirmed to have stopped promised nothing about the keys that it ran, and its clock may have been ahead. The document also grew by one member list for each change.

A proposal that relies on a confirmed stop begins 30 s ahead, and counts the stop only while half of that is left. The oldest epochs are dropped once all epochs list more than 8000 members together; their keys are refused. A repeat of a key whose outcome was lost asks the backend server again.

--- a/crates/rhubarblanding_once/src/keeper/io.rs
+++ b/crates/rhubarblanding_once/src/keeper/io.rs
@@ -12,6 +12,9 @@
 pub struct KeeperSettings {
     /// How far in the future a proposed epoch begins. It must exceed the ledgers' `mint_skew`.
     pub lead: Duration,
+    /// How far in the future a proposed epoch begins if it relies on a confirmed stop. The hosts'
+    /// clocks may differ by half of this time less the ledgers' `mint_skew`.
+    pub stopped_lead: Duration,
     /// How long before its begin a proposal that is not activated is withdrawn.
     pub abort_margin: Duration,
     /// Least time between two proposals, raised after each one that had to be withdrawn.
@@ -22,6 +25,8 @@
     pub retry_interval: Duration,
     /// How long after their mint time keys are answered from records.
     pub retention: Duration,
+    /// Greatest number of members listed in all epochs of the document together.
+    pub max_listed_members: usize,
     /// Mechanisms that can be switched off to show that a test would notice.
     pub safeguards: Safeguards,
 }
@@ -30,11 +35,13 @@
     fn default() -> Self {
         Self {
             lead: Duration::from_secs(4),
+            stopped_lead: Duration::from_secs(30),
             abort_margin: Duration::from_secs(1),
             proposal_interval: Duration::from_secs(10),
             proposal_interval_max: Duration::from_secs(120),
             retry_interval: Duration::from_secs(1),
             retention: Duration::from_secs(3600),
+            max_listed_members: 8_000,
             safeguards: Safeguards::default(),
         }
     }
--- a/crates/rhubarblanding_once/src/keeper/mod.rs
+++ b/crates/rhubarblanding_once/src/keeper/mod.rs
@@ -187,6 +187,10 @@
     }
 
     fn is_reachable_or_stopped(&self, id: MemberId) -> bool {
-        self.stopped.contains(&id) || self.view.iter().any(|member| member.id == id)
+        self.stopped.contains(&id) || self.is_in_view(id)
+    }
+
+    fn is_in_view(&self, id: MemberId) -> bool {
+        self.view.iter().any(|member| member.id == id)
     }
 }
--- a/crates/rhubarblanding_once/src/keeper/propose.rs
+++ b/crates/rhubarblanding_once/src/keeper/propose.rs
@@ -79,11 +79,11 @@
         proposed: &Epoch,
         out: &mut Vec<KeeperOutput>,
     ) {
-        let closed = |id| self.adopted.contains(&id) || self.stopped.contains(&id);
         let acks = self.settings.safeguards.adoption_acks;
-        if !acks || table.newest_active().is_closed_by(closed) {
+        if !acks || self.is_closed(now, table.newest_active(), proposed) {
             self.withdrawn = 0;
-            let activated = table.activate(self.expired_before(now));
+            let activated =
+                table.activate(self.expired_before(now), self.settings.max_listed_members);
             self.swap(Some(table), activated, out);
             return;
         }
@@ -98,6 +98,17 @@
         }
     }
 
+    /// Whether no member can run a key of `proposed` under the epoch before it any more.
+    ///
+    /// A stopped member promised nothing, so it counts only while the proposal begins later than
+    /// any key that the member could have accepted by its own clock.
+    fn is_closed(&self, now: Now, newest: &Epoch, proposed: &Epoch) -> bool {
+        let margin = self.settings.stopped_lead / 2;
+        let is_ahead = now.wall + margin <= proposed.from;
+        let is_stopped = |id| is_ahead && self.stopped.contains(&id);
+        newest.is_closed_by(|id| self.adopted.contains(&id) || is_stopped(id))
+    }
+
     /// Proposes the view if it differs from the newest epoch and its adoption can be expected.
     fn propose(&mut self, now: Now, table: &HomeTable, out: &mut Vec<KeeperOutput>) {
         let newest = table.newest_active();
@@ -119,8 +130,14 @@
     }
 
     fn next_start(&self, now: Now, table: &HomeTable) -> UnixMillis {
-        let newest = table.newest_active().from;
-        now.wall.max(self.latest_mint).max(newest) + self.settings.lead
+        let newest = table.newest_active();
+        let relies_on_stop = !newest.is_closed_by(|id| self.is_in_view(id));
+        let lead = if relies_on_stop {
+            self.settings.stopped_lead
+        } else {
+            self.settings.lead
+        };
+        now.wall.max(self.latest_mint).max(newest.from) + lead
     }
 
     fn expired_before(&self, now: Now) -> UnixMillis {
--- a/crates/rhubarblanding_once/src/ledger/mod.rs
+++ b/crates/rhubarblanding_once/src/ledger/mod.rs
@@ -142,7 +142,11 @@
                 self.query(req.key, vote, out);
                 ErrorKind::OutcomeUnknown
             }
-            State::Lost(_) => ErrorKind::OutcomeUnknown,
+            State::Lost(run) => {
+                let key = req.key;
+                out.push(Output::AskOutcome { key, run });
+                ErrorKind::OutcomeUnknown
+            }
             State::NotKept => ErrorKind::AnswerNotKept,
         };
         self.refuse(req.caller, kind, out);
--- a/crates/rhubarblanding_once/src/table/adoption.rs
+++ b/crates/rhubarblanding_once/src/table/adoption.rs
@@ -86,17 +86,29 @@
         table
     }
 
-    /// Table in which the proposed epoch is active, without the epochs whose keys were all minted
-    /// before `expired`.
-    pub fn activate(&self, expired: UnixMillis) -> Self {
+    /// Table in which the proposed epoch is active.
+    ///
+    /// The oldest epochs are dropped if all of their keys were minted before `expired`, or while
+    /// all epochs together list more than `max_listed` members. Keys of a dropped epoch are
+    /// refused, because nobody is left who decides on them.
+    pub fn activate(&self, expired: UnixMillis, max_listed: usize) -> Self {
         let mut table = self.clone();
         table.version = self.next_version();
         if let Some(epoch) = table.epochs.last_mut() {
             epoch.phase = Phase::Active;
         }
-        let starts_by = |epoch: &&Epoch| epoch.from <= expired;
-        let ended = table.epochs.iter().filter(starts_by).count();
-        table.epochs.drain(..ended.saturating_sub(1));
+        while table.epochs.len() > 1 {
+            let listed: usize = table.epochs.iter().map(|epoch| epoch.members.len()).sum();
+            if table.epochs[1].from > expired && listed <= max_listed {
+                break;
+            }
+            table.epochs.remove(0);
+        }
         table
     }
+
+    /// Whether a member decides on the newest keys. A node that stops waits until it does not.
+    pub fn is_current_member(&self, id: MemberId) -> bool {
+        self.newest_active().member(id).is_some()
+    }
 }
--- a/crates/rhubarblanding_once/tests/at_most_once/table.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/table.rs
@@ -66,7 +66,7 @@
     let from = UnixMillis(START.0 + 1_000);
     let members = (3..6).map(|host| member(host, 1, host)).collect();
     let proposed = old.propose(from, members).unwrap();
-    let new = proposed.activate(START);
+    let new = proposed.activate(START, 100);
     expect_that!(proposed.place(key(1_000, 1)), eq(old.place(key(1_000, 1))));
     expect_that!(new.place(key(999, 1)), eq(old.place(key(999, 1))));
     expect_that!(new.place(key(1_000, 1)), not(eq(old.place(key(1_000, 1)))));
@@ -77,11 +77,15 @@
     let from = UnixMillis(START.0 + 1_000);
     let proposed = table(&[0, 1]).propose(from, vec![member(1, 1, 1)]).unwrap();
     expect_that!(
-        proposed.activate(UnixMillis(from.0 - 1)).epochs().len(),
+        proposed
+            .activate(UnixMillis(from.0 - 1), 100)
+            .epochs()
+            .len(),
         eq(2)
     );
-    let pruned = proposed.activate(from);
+    let pruned = proposed.activate(from, 100);
     expect_that!(pruned.epochs().len(), eq(1));
+    expect_that!(proposed.activate(START, 2).epochs().len(), eq(1));
     expect_that!(pruned.place(key(999, 1)), none());
 }
 
