Let no single fast clock delay the table of homes

Cause: a voter did not look at a key's mint time, so one home with a fast clock and one caller with the same could raise the latest mint time that other members report, and with it the start of every later epoch.

Voters now refuse keys from the future by their own clock, and a keeper takes a report that lies beyond its lead as a missing adoption.

--- a/crates/rhubarblanding_once/src/keeper/mod.rs
+++ b/crates/rhubarblanding_once/src/keeper/mod.rs
@@ -112,7 +112,7 @@
             KeeperInput::Learned(table) => self.learn(table),
             KeeperInput::Read(result) => self.on_read(now, result),
             KeeperInput::Swap(result) => self.on_swap(now, result),
-            KeeperInput::Adoption(reply) => self.on_adoption(reply),
+            KeeperInput::Adoption(reply) => self.on_adoption(now, reply),
             KeeperInput::Tick => {}
         }
         self.act(now)
@@ -165,7 +165,7 @@
         self.read_at = now.mono + self.settings.retry_interval;
     }
 
-    fn on_adoption(&mut self, reply: AdoptionReply) {
+    fn on_adoption(&mut self, now: Now, reply: AdoptionReply) {
         if self.table.as_ref().map(HomeTable::version) != Some(reply.version) {
             return;
         }
@@ -173,6 +173,8 @@
             Adoption::Adopted => {
                 self.adopted.insert(reply.member);
             }
+            // A member whose clock is far ahead does not delay the epoch; it counts as missing.
+            Adoption::TooLate { latest_mint } if latest_mint > now.wall + self.settings.lead => {}
             Adoption::TooLate { latest_mint } => {
                 self.latest_mint = self.latest_mint.max(latest_mint);
                 self.too_late = true;
--- a/crates/rhubarblanding_once/src/ledger/decide.rs
+++ b/crates/rhubarblanding_once/src/ledger/decide.rs
@@ -119,6 +119,7 @@
             VoteRefusal::Ran(kept) => return self.finish(attempt, kept, out),
             VoteRefusal::Conflict => return self.give_up(attempt, ErrorKind::KeyConflict, out),
             VoteRefusal::OtherEpoch => None,
+            VoteRefusal::FromFuture => Some(ErrorKind::KeyFromFuture),
             VoteRefusal::Full => Some(ErrorKind::Overloaded),
             VoteRefusal::InProgress => Some(ErrorKind::KeyInProgress),
             VoteRefusal::Evicted | VoteRefusal::OutcomeUnknown => Some(ErrorKind::OutcomeUnknown),
--- a/crates/rhubarblanding_once/src/ledger/mod.rs
+++ b/crates/rhubarblanding_once/src/ledger/mod.rs
@@ -27,8 +27,8 @@
 /// Records and running requests of one node for one service.
 ///
 /// Feed it with [`Ledger::handle`] and carry out the outputs in order. Call it with
-/// [`Input::Tick`] when [`Ledger::next_due`] has come, and give it each newer table with
-/// [`Ledger::adopt`].
+/// [`Input::Tick`] when [`Ledger::next_due`] has come and at least every few seconds, so that old
+/// records expire. Give it each newer table with [`Ledger::adopt`].
 #[derive(Clone, Debug)]
 pub struct Ledger {
     me: Member,
@@ -102,7 +102,7 @@
             Input::Outcome { key, run, outcome } => {
                 self.on_outcome(now, key, run, outcome, &mut out);
             }
-            Input::Peer(envelope) => self.on_peer(envelope, &mut out),
+            Input::Peer(envelope) => self.on_peer(now, envelope, &mut out),
             Input::Tick => self.records.evict_expired(self.expired_before(now)),
         }
         out
@@ -160,7 +160,7 @@
         out: &mut Vec<Output>,
     ) -> Result<(), ErrorKind> {
         let mint = req.key.minted_at();
-        if mint > now.wall + self.settings.mint_skew {
+        if self.is_from_future(now, req.key) {
             return Err(ErrorKind::KeyFromFuture);
         }
         let placement = self.locate(req.key)?;
@@ -184,14 +184,14 @@
         Ok(())
     }
 
-    fn on_peer(&mut self, envelope: Envelope, out: &mut Vec<Output>) {
+    fn on_peer(&mut self, now: Now, envelope: Envelope, out: &mut Vec<Output>) {
         let Envelope { from, to, msg } = envelope;
         if !self.is_me(to) {
             self.refuse_misdirected(from, msg, out);
             return;
         }
         match msg {
-            PeerMessage::Prepare { .. } => self.on_prepare(from, msg, out),
+            PeerMessage::Prepare { .. } => self.on_prepare(now, from, msg, out),
             PeerMessage::PrepareAck { key, run } => self.on_prepare_ack(from, key, run, out),
             PeerMessage::PrepareRefused { key, run, reason } => {
                 self.on_prepare_refused(from, key, run, reason, out);
--- a/crates/rhubarblanding_once/src/ledger/outcome.rs
+++ b/crates/rhubarblanding_once/src/ledger/outcome.rs
@@ -1,4 +1,4 @@
-//! Outcomes of dispatched requests and their spreading to the other member of the placement.
+//! Outcomes of dispatched requests and their spreading to the other members that decide on a key.
 
 use std::sync::Arc;
 
@@ -10,7 +10,7 @@
 use super::active::{Attempt, Stage, Timer};
 use super::record::{AttemptKey, Record, State};
 use super::{CallerId, Ledger, Outcome, Output};
-use crate::answer::Fingerprint;
+use crate::answer::{Fingerprint, RecordedAnswer};
 use crate::message::{Kept, PeerMessage, RunId};
 use crate::table::MemberId;
 use crate::time::Now;
@@ -105,7 +105,7 @@
         self.send_recorded(now, key, self.partners(key), out);
     }
 
-    fn kept_state(&self, answer: Arc<crate::answer::RecordedAnswer>) -> State {
+    fn kept_state(&self, answer: Arc<RecordedAnswer>) -> State {
         if answer.size_bytes() > self.settings.max_answer_bytes {
             return State::NotKept;
         }
@@ -120,7 +120,7 @@
         }
     }
 
-    /// Ends a try as home with what the copy knows of the key.
+    /// Ends a try with what another member knows of the key.
     pub(super) fn finish(&mut self, attempt: AttemptKey, kept: Kept, out: &mut Vec<Output>) {
         let Some(attempt) = self.close(attempt) else {
             return;
@@ -164,6 +164,9 @@
         to: Vec<MemberId>,
         out: &mut Vec<Output>,
     ) {
+        if to.is_empty() {
+            return;
+        }
         let sends_left = self.settings.recorded_sends;
         let timer = None;
         let resend = Resend {
--- a/crates/rhubarblanding_once/src/ledger/table.rs
+++ b/crates/rhubarblanding_once/src/ledger/table.rs
@@ -98,6 +98,13 @@
         pair.is_some_and(|(me, other)| epoch.can_pair(me, other))
     }
 
+    /// Whether a key was minted later than the node's clock allows.
+    ///
+    /// It keeps one wrong clock from delaying every later epoch.
+    pub(super) fn is_from_future(&self, now: Now, key: IdempotencyKey) -> bool {
+        key.minted_at() > now.wall + self.settings.mint_skew
+    }
+
     /// Notes that the node takes part in running a key.
     pub(super) fn note_mint(&mut self, key: IdempotencyKey) {
         self.latest_mint = self.latest_mint.max(key.minted_at());
--- a/crates/rhubarblanding_once/src/ledger/vote.rs
+++ b/crates/rhubarblanding_once/src/ledger/vote.rs
@@ -10,10 +10,17 @@
 use crate::answer::Fingerprint;
 use crate::message::{Kept, PeerMessage, RunId, VoteRefusal};
 use crate::table::{MemberId, Placement};
+use crate::time::Now;
 
 impl Ledger {
     /// Votes for a try of another member, or says why not.
-    pub(super) fn on_prepare(&mut self, from: MemberId, msg: PeerMessage, out: &mut Vec<Output>) {
+    pub(super) fn on_prepare(
+        &mut self,
+        now: Now,
+        from: MemberId,
+        msg: PeerMessage,
+        out: &mut Vec<Output>,
+    ) {
         let PeerMessage::Prepare {
             epoch,
             key,
@@ -31,6 +38,10 @@
             refuse_vote(from, key, run, reason, out);
             return;
         };
+        if self.is_from_future(now, key) {
+            refuse_vote(from, key, run, VoteRefusal::FromFuture, out);
+            return;
+        }
         self.vote(from, key, fingerprint, Vote { runner, run }, out);
     }
 
--- a/crates/rhubarblanding_once/src/message.rs
+++ b/crates/rhubarblanding_once/src/message.rs
@@ -41,6 +41,8 @@
     /// The receiver does not place the key on the sender and itself in this epoch, or is another
     /// life of the node that was asked.
     OtherEpoch,
+    /// The key was minted later than the receiver's clock allows.
+    FromFuture,
     /// The receiver may have voted on the key and evicted the record.
     Evicted,
     /// The receiver has no room for another record.
--- a/crates/rhubarblanding_once/tests/at_most_once/scenarios.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/scenarios.rs
@@ -1,5 +1,6 @@
 //! Changes of the table at the worst moment, each with and without the mechanism that answers it.
 
+use googletest::prelude::*;
 use rhubarblanding_core::cases;
 use rhubarblanding_once::prelude::*;
 use rhubarblanding_once::safeguards::Safeguards;
@@ -13,6 +14,8 @@
 const PAST_LEAD_MILLIS: u64 = 5_000;
 /// Offset of a clock that is further behind than a proposal looks ahead, in milliseconds.
 const SLOW_CLOCK_MILLIS: i64 = -6_000;
+/// Offset of a clock that is far ahead, in milliseconds.
+const FAST_CLOCK_MILLIS: i64 = 3_600_000;
 /// Time after which the witness is asked, in milliseconds.
 const PAST_FALLBACK_MILLIS: u64 = 60;
 /// Bit set of the last two of four nodes.
@@ -23,7 +26,7 @@
 fn cluster(safeguards: Safeguards, nodes: u8, first_offset: i64) -> Cluster {
     Cluster::new(Setup {
         zones: (0..nodes).collect(),
-        offsets: vec![first_offset, 0, 0, 0],
+        offsets: vec![first_offset, 0, 0, 0, 0, 0, 0],
         ledger: LedgerSettings {
             safeguards,
             ..LedgerSettings::default()
@@ -87,9 +90,9 @@
 
 /// The proposing node's clock is so far behind that the epoch holds keys that ran already.
 fn proposal_in_the_past(safeguards: Safeguards) -> Cluster {
-    let mut cluster = cluster(safeguards, 2, SLOW_CLOCK_MILLIS);
-    race(&mut cluster, [0, 1]);
-    for host in 2..4 {
+    let mut cluster = cluster(safeguards, 3, SLOW_CLOCK_MILLIS);
+    race(&mut cluster, [1, 2]);
+    for host in 3..6 {
         let table = cluster.document.clone();
         cluster.add_node(member(host, 1, host), table);
     }
@@ -110,6 +113,26 @@
     cluster
 }
 
+/// A node whose clock is an hour ahead accepts keys that the others refuse, and the table still
+/// changes.
+#[gtest]
+fn fast_clock_does_not_delay_the_table() {
+    let mut cluster = cluster(Safeguards::default(), 4, FAST_CLOCK_MILLIS);
+    for _ in 0..KEYS {
+        let clock_off = FAST_CLOCK_MILLIS;
+        cluster.apply(Op::Request {
+            clock_off,
+            entry: 1,
+        });
+    }
+    settle(&mut cluster);
+    expect_that!(cluster.oracle.tally.runs, eq(0));
+    cluster.apply(Op::Replace(0));
+    cluster.apply(Op::CommonView { dead: None });
+    settle(&mut cluster);
+    expect_that!(cluster.oracle.tally.epochs_activated, eq(1));
+}
+
 fn three_nodes() -> Cluster {
     cluster(Safeguards::default(), 3, 0)
 }
