Tell removed members of the table that removes them

Cause: a keeper gave an active table only to the members that it lists. A member that was removed kept the proposal that it had adopted, and went on refusing new keys that came in through it instead of asking their new home. A node that stops could not see that it was removed.

The members of the three newest epochs are told, those that are removed at most five times for one table.

--- a/crates/rhubarblanding_once/src/keeper/mod.rs
+++ b/crates/rhubarblanding_once/src/keeper/mod.rs
@@ -50,6 +50,8 @@
     too_late: bool,
     /// Version that was last given to the members.
     spread: Option<TableVersion>,
+    /// How often the present table was given to members.
+    spreads: u32,
     /// When the table is given again to members that did not answer.
     spread_at: MonoTime,
     /// When the document may be read again.
@@ -75,6 +77,7 @@
             latest_mint: UnixMillis::default(),
             too_late: false,
             spread: None,
+            spreads: 0,
             spread_at: MonoTime::ZERO,
             read_at: MonoTime::ZERO,
             propose_at: MonoTime::ZERO,
--- a/crates/rhubarblanding_once/src/keeper/propose.rs
+++ b/crates/rhubarblanding_once/src/keeper/propose.rs
@@ -6,6 +6,11 @@
 use crate::table::{Epoch, HomeTable, Member, MemberId};
 use crate::time::Now;
 
+/// Number of the newest epochs whose members are told of a table.
+const EPOCHS_TOLD: usize = 3;
+/// How often members that were removed are told of it.
+const REMOVED_SPREADS_MAX: u32 = 5;
+
 impl TableKeeper {
     pub(super) fn act(&mut self, now: Now) -> Vec<KeeperOutput> {
         let mut out = Vec::new();
@@ -52,7 +57,11 @@
         if !is_new && now.mono < self.spread_at {
             return;
         }
+        if is_new {
+            self.spreads = 0;
+        }
         let to = self.receivers(table);
+        self.spreads += 1;
         if !to.is_empty() {
             let table = table.clone();
             out.push(KeeperOutput::Spread { to, table });
@@ -61,16 +70,27 @@
         self.spread_at = now.mono + self.settings.retry_interval;
     }
 
+    /// Members that need the table: those that decide on keys, those that are to, and for a while
+    /// those that no longer do.
     fn receivers(&self, table: &HomeTable) -> Vec<MemberId> {
-        let epochs = table.proposed().into_iter().chain([table.newest_active()]);
-        let members = epochs.flat_map(|epoch| &epoch.members).chain(&self.view);
-        let mut ids: Vec<MemberId> = members.map(|member| member.id).collect();
+        let newest_first = table.epochs().iter().rev();
+        let epochs = newest_first.take(EPOCHS_TOLD);
+        let members = epochs.flat_map(|epoch| &epoch.members);
+        let told = members.filter(|member| self.is_worth_telling(table, member.id));
+        let mut ids: Vec<MemberId> = told.chain(&self.view).map(|member| member.id).collect();
         ids.sort();
         ids.dedup();
         ids.retain(|id| !self.adopted.contains(id) && !self.stopped.contains(id));
         ids
     }
 
+    fn is_worth_telling(&self, table: &HomeTable, id: MemberId) -> bool {
+        let proposed = table.proposed();
+        let decides = table.is_current_member(id);
+        let is_to_decide = proposed.is_some_and(|epoch| epoch.member(id).is_some());
+        decides || is_to_decide || self.spreads < REMOVED_SPREADS_MAX
+    }
+
     /// Activates a proposal that enough members adopted; withdraws or moves one that is late.
     fn follow(
         &mut self,
--- a/crates/rhubarblanding_once/tests/at_most_once/fuzz.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/fuzz.rs
@@ -11,7 +11,9 @@
 use rhubarblanding_core::cases;
 use rhubarblanding_once::safeguards::Safeguards;
 
-use crate::sim::machine::{Faults, Reference, benign_ops, faulty_ops, setup, table_change_ops};
+use crate::sim::machine::{
+    Faults, Reference, benign_ops, faulty_ops, planned_change_ops, setup, table_change_ops,
+};
 use crate::sim::{Cluster, Op, Setup, Tally};
 
 /// Cases of each run, unless the environment says otherwise.
@@ -136,6 +138,26 @@
     expect_that!(tally.store_calls, eq(tally.cases));
 }
 
+struct PlannedChange;
+
+impl Faults for PlannedChange {
+    fn ops() -> BoxedStrategy<Op> {
+        planned_change_ops()
+    }
+
+    fn setup() -> BoxedStrategy<Setup> {
+        setup(Safeguards::default(), false)
+    }
+}
+
+#[gtest]
+fn planned_changes_refuse_nothing() {
+    let tally = fuzz::<PlannedChange>(cases()).unwrap();
+    println!("planned change: {tally:?}");
+    expect_that!(tally.refused.len(), eq(0));
+    expect_that!(tally.epochs_activated, gt(0));
+}
+
 /// New keys of one check after the faults are over.
 const NEW_KEYS: usize = 5;
 
--- a/crates/rhubarblanding_once/tests/at_most_once/sim/machine.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/sim/machine.rs
@@ -111,6 +111,14 @@
     .boxed()
 }
 
+/// Members come and go as planned, and nothing fails.
+pub fn planned_change_ops() -> BoxedStrategy<Op> {
+    let dead = proptest::option::of(0..64usize);
+    let change = dead.prop_map(|dead| Op::CommonView { dead });
+    let time = (200..1_500u64).prop_map(Op::Quiet);
+    prop_oneof![8 => benign_ops(), 1 => change, 3 => time].boxed()
+}
+
 pub fn faulty_ops() -> BoxedStrategy<Op> {
     let i = || 0..64usize;
     let backend = prop_oneof![
