Bound the bytes of kept answers

Cause: records were bounded in number and each answer in size, but 200000 answers of 16 KiB would take 3.2 GB.

All kept answers together take at most 32 MiB. The oldest are given up first; their keys stay recorded as run, so that a repeat is told so, and the horizon does not rise. Evicting whole records instead would have turned known outcomes into unknown ones. The default number of records falls to 100000. The oracle also checks that a key which is said to have run did run.

--- a/crates/rhubarblanding_once/examples/ledger_cost.rs
+++ b/crates/rhubarblanding_once/examples/ledger_cost.rs
@@ -132,8 +132,13 @@
         .filter_map(place)
         .filter(|(_, placement)| placement.home == home && placement.copy == Some(copy));
     let keys: Vec<IdempotencyKey> = on_pair.map(|(key, _)| key).take(KEYS as usize).collect();
+    let settings = LedgerSettings {
+        max_records: KEYS as usize,
+        max_kept_bytes: usize::MAX,
+        ..LedgerSettings::default()
+    };
     let new = |member: &Member| {
-        let mut ledger = Ledger::new(member.clone(), LedgerSettings::default());
+        let mut ledger = Ledger::new(member.clone(), settings);
         ledger.adopt(now(0), table.clone());
         ledger
     };
--- a/crates/rhubarblanding_once/src/ledger/mod.rs
+++ b/crates/rhubarblanding_once/src/ledger/mod.rs
@@ -54,7 +54,7 @@
             table: None,
             adoption: Adoption::Adopted,
             latest_mint: UnixMillis::default(),
-            records: Records::default(),
+            records: Records::new(settings.max_kept_bytes),
             attempts: SlotMap::with_key(),
             unacknowledged: Unacknowledged::default(),
             timers: TimerService::new(),
--- a/crates/rhubarblanding_once/src/ledger/outcome.rs
+++ b/crates/rhubarblanding_once/src/ledger/outcome.rs
@@ -129,7 +129,7 @@
             Kept::Answer(answer) => {
                 let answer = Arc::new(answer);
                 self.answer_all(&attempt.waiters, &answer, out);
-                State::Answered(answer)
+                self.kept_state(answer)
             }
             Kept::NotKept => {
                 self.refuse_all(&attempt.waiters, ErrorKind::AnswerNotKept, out);
@@ -230,7 +230,7 @@
             return;
         }
         let state = match kept {
-            Kept::Answer(answer) => State::Answered(Arc::new(answer)),
+            Kept::Answer(answer) => self.kept_state(Arc::new(answer)),
             Kept::NotKept => State::NotKept,
         };
         self.records.insert(key, Record { fingerprint, state });
--- a/crates/rhubarblanding_once/src/ledger/record.rs
+++ b/crates/rhubarblanding_once/src/ledger/record.rs
@@ -61,32 +61,84 @@
             _ => None,
         }
     }
+
+    fn kept_bytes(&self) -> usize {
+        match &self.state {
+            State::Answered(answer) => answer.size_bytes(),
+            _ => 0,
+        }
+    }
 }
 
 /// Records in the order of their keys, which is the order of their mint times.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Records {
     by_key: BTreeMap<IdempotencyKey, Record>,
     horizon: Option<UnixMillis>,
+    /// Size of all kept answers, in bytes.
+    kept_bytes: usize,
+    max_kept_bytes: usize,
+    /// No record before this key keeps an answer.
+    kept_from: Option<IdempotencyKey>,
 }
 
 impl Records {
+    pub fn new(max_kept_bytes: usize) -> Self {
+        Self {
+            by_key: BTreeMap::new(),
+            horizon: None,
+            kept_bytes: 0,
+            max_kept_bytes,
+            kept_from: None,
+        }
+    }
+
     pub fn get(&self, key: IdempotencyKey) -> Option<&Record> {
         self.by_key.get(&key)
     }
 
     pub fn insert(&mut self, key: IdempotencyKey, record: Record) {
+        let bytes = record.kept_bytes();
+        self.remove(key);
         self.by_key.insert(key, record);
+        self.add_kept(key, bytes);
     }
 
     pub fn set_state(&mut self, key: IdempotencyKey, state: State) {
         if let Some(record) = self.by_key.get_mut(&key) {
+            self.kept_bytes -= record.kept_bytes();
             record.state = state;
+            let bytes = record.kept_bytes();
+            self.add_kept(key, bytes);
         }
     }
 
     pub fn remove(&mut self, key: IdempotencyKey) {
-        self.by_key.remove(&key);
+        if let Some(record) = self.by_key.remove(&key) {
+            self.kept_bytes -= record.kept_bytes();
+        }
+    }
+
+    /// Counts a kept answer, and gives up the oldest ones if there are too many bytes.
+    fn add_kept(&mut self, key: IdempotencyKey, bytes: usize) {
+        if bytes == 0 {
+            return;
+        }
+        self.kept_bytes += bytes;
+        self.kept_from = self.kept_from.map(|from| from.min(key)).or(Some(key));
+        while self.kept_bytes > self.max_kept_bytes {
+            let Some(oldest) = self.oldest_kept() else {
+                return;
+            };
+            self.kept_from = Some(oldest);
+            self.set_state(oldest, State::NotKept);
+        }
+    }
+
+    fn oldest_kept(&self) -> Option<IdempotencyKey> {
+        let mut records = self.by_key.range(self.kept_from?..);
+        let kept = records.find(|(_, record)| record.kept_bytes() > 0);
+        kept.map(|(key, _)| *key)
     }
 
     pub fn len(&self) -> usize {
@@ -128,7 +180,7 @@
     }
 
     fn evict(&mut self, key: IdempotencyKey) {
-        self.by_key.remove(&key);
+        self.remove(key);
         self.horizon = self.horizon.max(Some(key.minted_at()));
     }
 }
--- a/crates/rhubarblanding_once/src/ledger/settings.rs
+++ b/crates/rhubarblanding_once/src/ledger/settings.rs
@@ -25,6 +25,9 @@
     pub max_records: usize,
     /// Greatest size in bytes of head and body of an answer that is kept.
     pub max_answer_bytes: usize,
+    /// Greatest size in bytes of all answers that are kept. The oldest are given up first; their
+    /// keys are still known to have run.
+    pub max_kept_bytes: usize,
     /// When a caller should repeat a request that was not run.
     pub retry_after: Duration,
     /// When a caller should ask again for an outcome that is not known.
@@ -43,8 +46,9 @@
             recorded_retry: Duration::from_millis(500),
             recorded_sends: 4,
             retention: Duration::from_secs(3600),
-            max_records: 200_000,
+            max_records: 100_000,
             max_answer_bytes: 16 * 1024,
+            max_kept_bytes: 32 * 1024 * 1024,
             retry_after: Duration::from_millis(200),
             outcome_retry_after: Duration::from_secs(1),
             safeguards: Safeguards::default(),
--- a/crates/rhubarblanding_once/tests/at_most_once/ledger.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/ledger.rs
@@ -93,6 +93,33 @@
     expect_that!(refusal.kind, eq(ErrorKind::OutcomeUnknown));
 }
 
+fn repeat_of_an_answer(max_answer_bytes: usize, max_kept_bytes: usize, kept: bool) {
+    let mut pair = Pair::with_settings(LedgerSettings {
+        max_answer_bytes,
+        max_kept_bytes,
+        ..LedgerSettings::default()
+    });
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    let out = pair.end(&out, Outcome::Answered(pair.answer()));
+    assert_that!(out, contains(pat!(Output::Answer { .. })));
+    pair.exchange(out);
+    let expected = if kept {
+        vec![]
+    } else {
+        vec![ErrorKind::AnswerNotKept]
+    };
+    assert_that!(refused(&pair.ask_home(2)), eq(&expected));
+    assert_that!(refused(&pair.ask_copy(3)), eq(&expected));
+}
+
+cases! {
+    repeat_of_an_answer;
+    small_answer_is_repeated: (1_000, 1_000, true);
+    large_answer_is_known_to_have_run: (10, 1_000, false);
+    given_up_answer_is_known_to_have_run: (1_000, 10, false);
+}
+
 /// The copy takes over a key whose try at the home timed out, and the home, which does not hear of
 /// it, tries again.
 fn runs_after_a_late_acknowledgement(run_check: bool, expected: usize) {
--- a/crates/rhubarblanding_once/tests/at_most_once/sim/callers.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/sim/callers.rs
@@ -54,7 +54,10 @@
                 };
                 self.events.push(Event::Ask(attempt, to));
             }
-            RouteStep::Refuse(refusal) => self.oracle.on_refusal(&request.asks, refusal.kind),
+            RouteStep::Refuse(refusal) => {
+                self.oracle
+                    .on_refusal(request.key, &request.asks, refusal.kind)
+            }
         }
     }
 
--- a/crates/rhubarblanding_once/tests/at_most_once/sim/machine.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/sim/machine.rs
@@ -10,6 +10,9 @@
 
 use super::cluster::Setup;
 
+/// Size for which the answers of most but not all records are kept.
+const KEPT_BYTES_PER_RECORD: usize = 60;
+
 /// What a backend server does with requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Backend {
@@ -206,6 +209,7 @@
             offsets,
             ledger: LedgerSettings {
                 max_records,
+                max_kept_bytes: max_records * KEPT_BYTES_PER_RECORD,
                 safeguards,
                 ..LedgerSettings::default()
             },
--- a/crates/rhubarblanding_once/tests/at_most_once/sim/oracle.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/sim/oracle.rs
@@ -86,10 +86,14 @@
         }
     }
 
-    pub fn on_refusal(&mut self, asks: &[CallerId], kind: ErrorKind) {
+    pub fn on_refusal(&mut self, key: IdempotencyKey, asks: &[CallerId], kind: ErrorKind) {
         *self.tally.refused.entry(kind).or_default() += 1;
-        if kind.answer().run_state == RunState::NotRun {
-            self.on_not_run(asks);
+        match kind.answer().run_state {
+            RunState::NotRun => self.on_not_run(asks),
+            RunState::Ran if self.answer_of(key).is_none() => {
+                self.report(format!("{key} was said to have run"));
+            }
+            RunState::Ran | RunState::Unknown => {}
         }
     }
 
