--- a/crates/rhubarblanding_once/src/keeper/io.rs
+++ b/crates/rhubarblanding_once/src/keeper/io.rs
@@ -23,6 +23,8 @@
     pub proposal_interval_max: Duration,
     /// Time after which a store call that failed, or a proposal without answer, is repeated.
     pub retry_interval: Duration,
+    /// How long the table may differ from the view before the next member in the view acts too.
+    pub takeover_after: Duration,
     /// How long after their mint time keys are answered from records.
     pub retention: Duration,
     /// Greatest number of members listed in all epochs of the document together.
@@ -40,6 +42,7 @@
             proposal_interval: Duration::from_secs(10),
             proposal_interval_max: Duration::from_secs(120),
             retry_interval: Duration::from_secs(1),
+            takeover_after: Duration::from_secs(30),
             retention: Duration::from_secs(3600),
             max_listed_members: 8_000,
             safeguards: Safeguards::default(),
--- a/crates/rhubarblanding_once/src/keeper/mod.rs
+++ b/crates/rhubarblanding_once/src/keeper/mod.rs
@@ -1,7 +1,7 @@
 //! Changes of the table of homes in the platform's service.
 //!
-//! Each member has a keeper; the one whose member comes first in its own view acts. Two keepers
-//! that act at the same time are harmless, because each change is a compare-and-swap. A change of
+//! Each member has a keeper; the one whose member comes first in its own view acts, and the next
+//! ones if the table does not follow for some time. Two keepers that act at the same time are harmless, because each change is a compare-and-swap. A change of
 //! members takes two: one proposes an epoch that begins a little later, and one activates it after
 //! enough members of the epoch before it have adopted the proposal. While the store is down
 //! nothing changes, and the ledgers go on with the table that they have.
@@ -56,6 +56,9 @@
     spread_at: MonoTime,
     /// When the document may be read again.
     read_at: MonoTime,
+    /// Since when the table has differed from the view.
+    differs_since: Option<MonoTime>,
+    acts: bool,
     /// When the next epoch may be proposed.
     propose_at: MonoTime,
     /// Proposals that were withdrawn since the last one that was activated.
@@ -80,6 +83,8 @@
             spreads: 0,
             spread_at: MonoTime::ZERO,
             read_at: MonoTime::ZERO,
+            differs_since: None,
+            acts: false,
             propose_at: MonoTime::ZERO,
             withdrawn: 0,
         }
@@ -108,7 +113,7 @@
     /// Takes one input and returns what has to be done.
     pub fn handle(&mut self, now: Now, input: KeeperInput) -> Vec<KeeperOutput> {
         match input {
-            KeeperInput::View(members) => self.on_view(members),
+            KeeperInput::View(members) => self.on_view(now, members),
             KeeperInput::Stopped(member) => {
                 self.stopped.insert(member);
             }
@@ -118,19 +123,49 @@
             KeeperInput::Adoption(reply) => self.on_adoption(now, reply),
             KeeperInput::Tick => {}
         }
+        self.update_acts(now);
         self.act(now)
     }
 
-    fn on_view(&mut self, mut members: Vec<Member>) {
-        let was_leader = self.is_leader();
+    fn on_view(&mut self, now: Now, mut members: Vec<Member>) {
         members.sort();
         members.dedup_by_key(|member| member.id.host);
-        self.view = members;
-        if !was_leader && self.is_leader() && self.store == StoreState::Known {
+        if members != self.view {
+            self.view = members;
+            self.differs_since = Some(now.mono);
+        }
+    }
+
+    /// Decides whether this keeper acts. One that begins to act reads the document first.
+    fn update_acts(&mut self, now: Now) {
+        if self.follows_view() {
+            self.differs_since = None;
+        } else {
+            self.differs_since.get_or_insert(now.mono);
+        }
+        let acted = self.acts;
+        self.acts = self.is_due_to_act(now);
+        if !acted && self.acts && self.store == StoreState::Known {
             self.store = StoreState::Unread;
         }
     }
 
+    fn follows_view(&self) -> bool {
+        self.table.as_ref().is_some_and(|table| {
+            table.proposed().is_none() && table.newest_active().members == self.view
+        })
+    }
+
+    /// Whether the table has differed for the time that the members before this one are given.
+    fn is_due_to_act(&self, now: Now) -> bool {
+        let rank = self.view.iter().position(|member| *member == self.me);
+        let Some(rank) = rank.and_then(|rank| u32::try_from(rank).ok()) else {
+            return false;
+        };
+        let differs = self.differs_since.map(|since| now.mono.since(since));
+        rank == 0 || differs >= Some(self.settings.takeover_after.saturating_mul(rank))
+    }
+
     fn learn(&mut self, table: HomeTable) {
         if self.table.as_ref().map(HomeTable::version) < Some(table.version()) {
             self.table = Some(table);
@@ -187,10 +222,6 @@
         }
     }
 
-    fn is_leader(&self) -> bool {
-        self.view.first() == Some(&self.me)
-    }
-
     fn is_reachable_or_stopped(&self, id: MemberId) -> bool {
         self.stopped.contains(&id) || self.is_in_view(id)
     }
--- a/crates/rhubarblanding_once/src/keeper/propose.rs
+++ b/crates/rhubarblanding_once/src/keeper/propose.rs
@@ -14,7 +14,7 @@
 impl TableKeeper {
     pub(super) fn act(&mut self, now: Now) -> Vec<KeeperOutput> {
         let mut out = Vec::new();
-        if !self.is_leader() {
+        if !self.acts {
             return out;
         }
         match &self.store {
--- a/crates/rhubarblanding_once/tests/at_most_once/scenarios.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/scenarios.rs
@@ -133,6 +133,20 @@
     expect_that!(cluster.oracle.tally.epochs_activated, eq(1));
 }
 
+/// The first member cannot reach the store, and the next one changes the table in its place.
+#[gtest]
+fn next_member_takes_over_the_table() {
+    let mut cluster = cluster(Safeguards::default(), 4, 0);
+    cluster.apply(Op::Cut(0b1));
+    cluster.apply(Op::CommonView { dead: LAST });
+    settle(&mut cluster);
+    expect_that!(cluster.oracle.tally.epochs_activated, eq(0));
+    for _ in 0..40 {
+        cluster.apply(Op::Quiet(1_000));
+    }
+    expect_that!(cluster.oracle.tally.epochs_activated, eq(1));
+}
+
 fn three_nodes() -> Cluster {
     cluster(Safeguards::default(), 3, 0)
 }
