--- a/crates/rhubarblanding_once/tests/at_most_once/common/pair.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/common/pair.rs
@@ -50,22 +50,39 @@
         answer(b"reserved")
     }
 
-    fn ask(&mut self, node: usize, caller: u64, role: Role) -> Vec<Output> {
+    pub fn ask(
+        &mut self,
+        node: usize,
+        caller: u64,
+        role: Role,
+        fingerprint: Fingerprint,
+    ) -> Vec<Output> {
         let req = AttemptRequest {
             caller: CallerId(caller),
             key: self.key,
-            fingerprint: Fingerprint(1),
+            fingerprint,
             role,
         };
         self.ledgers[node].handle(at(self.millis), Input::Attempt(req))
     }
 
     pub fn ask_home(&mut self, caller: u64) -> Vec<Output> {
-        self.ask(self.home, caller, Role::Home)
+        self.ask(self.home, caller, Role::Home, Fingerprint(1))
     }
 
     pub fn ask_copy(&mut self, caller: u64) -> Vec<Output> {
-        self.ask(self.copy, caller, Role::Substitute)
+        self.ask(self.copy, caller, Role::Substitute, Fingerprint(1))
+    }
+
+    pub fn leave_home(&mut self, caller: u64) -> Vec<Output> {
+        let (caller, key) = (CallerId(caller), self.key);
+        let input = Input::CallerGone { caller, key };
+        self.ledgers[self.home].handle(at(self.millis), input)
+    }
+
+    pub fn adopt_at_home(&mut self, table: HomeTable) -> Adoption {
+        let reply = self.ledgers[self.home].adopt(at(self.millis), table);
+        reply.adoption
     }
 
     /// Lets the timeouts of the home pass.
--- a/crates/rhubarblanding_once/tests/at_most_once/ledger.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/ledger.rs
@@ -1,12 +1,16 @@
 //! The path of one key through its home and copy.
 
-use crate::common::pair::Pair;
 use googletest::prelude::*;
 use rhubarblanding_core::cases;
 use rhubarblanding_core::error::{ErrorKind, Refusal};
+use rhubarblanding_core::time::UnixMillis;
+use rhubarblanding_once::message::Kept;
 use rhubarblanding_once::prelude::*;
 use rhubarblanding_once::safeguards::Safeguards;
 
+use crate::common::pair::Pair;
+use crate::common::{START, member};
+
 fn refused(outputs: &[Output]) -> Vec<ErrorKind> {
     let kind = |output: &Output| match output {
         Output::Refuse { refusal, .. } => Some(refusal.kind),
@@ -152,3 +156,87 @@
     late_acknowledgement_is_of_another_try: (true, 1);
     missing_run_check_shows: (false, 2);
 }
+
+#[gtest]
+fn key_with_another_request_is_refused() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    pair.exchange(out);
+    let out = pair.ask(pair.home, 2, Role::Home, Fingerprint(2));
+    expect_that!(refused(&out), eq(&vec![ErrorKind::KeyConflict]));
+    let out = pair.ask(pair.copy, 3, Role::Substitute, Fingerprint(2));
+    expect_that!(refused(&out), eq(&vec![ErrorKind::KeyConflict]));
+}
+
+#[gtest]
+fn caller_that_went_away_is_not_answered() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    pair.ask_home(2);
+    expect_that!(pair.leave_home(1), is_empty());
+    let out = pair.end(&out, Outcome::Answered(pair.answer()));
+    let answered = out.iter().filter_map(|output| match output {
+        Output::Answer { caller, .. } => Some(*caller),
+        _ => None,
+    });
+    expect_that!(answered.collect::<Vec<_>>(), eq(&vec![CallerId(2)]));
+}
+
+#[gtest]
+fn key_that_nobody_waits_for_is_not_dispatched() {
+    let mut pair = Pair::new();
+    let sent = pair.ask_home(1);
+    expect_that!(pair.leave_home(1), contains(pat!(Output::Send { .. })));
+    expect_that!(pair.exchange(sent), is_empty());
+}
+
+#[gtest]
+fn streamed_answer_reaches_only_the_caller_that_was_dispatched() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    pair.ask_home(2);
+    let out = pair.end(&out, Outcome::Streamed);
+    expect_that!(refused(&out), eq(&vec![ErrorKind::AnswerNotKept]));
+    expect_that!(
+        out,
+        contains(pat!(Output::Refuse {
+            caller: eq(&CallerId(2)),
+            ..
+        }))
+    );
+}
+
+/// A proposal that begins some seconds ahead of the clock of a node that has run a key.
+fn adopts(ahead_secs: u64, expected: Adoption) {
+    let mut pair = Pair::new();
+    pair.ask_home(1);
+    let from = UnixMillis(START.0 + ahead_secs * 1_000);
+    let table = pair.table().unwrap().propose(from, vec![member(9, 1, 9)]);
+    assert_that!(pair.adopt_at_home(table.unwrap()), eq(expected));
+}
+
+cases! {
+    adopts;
+    proposal_near_ahead_is_adopted: (1, Adoption::Adopted);
+    proposal_far_ahead_is_not_adopted: (61, Adoption::TooFar);
+}
+
+#[gtest]
+fn messages_survive_serialization() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    let out = pair.end(&out, Outcome::Answered(pair.answer()));
+    let msg = out.iter().find_map(|output| match output {
+        Output::Send { msg, .. } => Some(msg.clone()),
+        _ => None,
+    });
+    let text = serde_json::to_string(&msg.unwrap()).unwrap();
+    let read: PeerMessage = serde_json::from_str(&text).unwrap();
+    let is_whole = matches!(read, PeerMessage::Recorded {
+        kept: Kept::Answer(answer), ..
+    } if answer == pair.answer());
+    expect_that!(is_whole, eq(true));
+}
