Test the question that settles a vote

Of the others, answering a question about an evicted key with a release runs a key twice, and nothing noticed. `evicted_record_is_not_taken_for_a_release` does now.

--- a/crates/rhubarblanding_once/tests/at_most_once/ledger.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/ledger.rs
@@ -1,5 +1,7 @@
 //! The path of one key through its home and copy.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use rhubarblanding_core::cases;
 use rhubarblanding_core::error::{ErrorKind, Refusal};
@@ -157,6 +159,39 @@
     missing_run_check_shows: (false, 2);
 }
 
+/// The home forgets a key that ran, and the copy, which did not hear of the outcome, asks for it.
+#[gtest]
+fn evicted_record_is_not_taken_for_a_release() {
+    let mut pair = Pair::with_settings(LedgerSettings {
+        retention: Duration::from_millis(500),
+        ..LedgerSettings::default()
+    });
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    pair.end(&out, Outcome::Answered(pair.answer()));
+    pair.time_out();
+    for caller in 2..4 {
+        let out = pair.ask_copy(caller);
+        expect_that!(refused(&out), eq(&vec![ErrorKind::OutcomeUnknown]));
+        pair.exchange_from(pair.copy, out);
+    }
+}
+
+/// A release that the copy did not get is made up for by its question.
+#[gtest]
+fn lost_release_is_settled_by_a_query() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    pair.end(&out, Outcome::Shed);
+    let out = pair.ask_copy(2);
+    expect_that!(refused(&out), eq(&vec![ErrorKind::OutcomeUnknown]));
+    pair.exchange_from(pair.copy, out);
+    let out = pair.ask_copy(3);
+    let out = pair.exchange_from(pair.copy, out);
+    expect_that!(out, elements_are![pat!(Output::Dispatch { .. })]);
+}
+
 #[gtest]
 fn key_with_another_request_is_refused() {
     let mut pair = Pair::new();
