Go on at once without a member that refuses connections

Cause: while a copy is gone and the table has not followed yet, each key placed on it waited 50 ms for the copy before its home asked the witness.

The owner of a ledger may report that a message could not be sent (`Input::Unreachable`); the tries that wait for that member go on without its vote. Only the wait is saved: a vote that was given after all is released, and its acknowledgement names a try that has ended.

`unreachable_member_is_not_waited_for`: 60 of 60 callers are answered without time passing.

--- a/crates/rhubarblanding_once/src/ledger/decide.rs
+++ b/crates/rhubarblanding_once/src/ledger/decide.rs
@@ -3,7 +3,7 @@
 use rhubarblanding_core::error::ErrorKind;
 use rhubarblanding_core::ids::IdempotencyKey;
 
-use super::active::{Stage, Timer};
+use super::active::{Attempt, Stage, Timer};
 use super::record::AttemptKey;
 use super::{AttemptRequest, Ledger, Output};
 use crate::message::{PeerMessage, RunId, VoteRefusal};
@@ -127,6 +127,17 @@
         self.go_on_without(attempt, from, failure, out);
     }
 
+    /// Goes on without a member in each try that waits for its vote.
+    pub(super) fn on_unreachable(&mut self, member: MemberId, out: &mut Vec<Output>) {
+        let waits =
+            |attempt: &Attempt| attempt.stage == Stage::Deciding && attempt.asked.contains(&member);
+        let waiting = self.attempts.iter().filter(|(_, attempt)| waits(attempt));
+        let waiting: Vec<AttemptKey> = waiting.map(|(key, _)| key).collect();
+        for attempt in waiting {
+            self.go_on_without(attempt, member, None, out);
+        }
+    }
+
     /// Goes on without the vote of a member, and gives up if no other was asked.
     fn go_on_without(
         &mut self,
--- a/crates/rhubarblanding_once/src/ledger/io.rs
+++ b/crates/rhubarblanding_once/src/ledger/io.rs
@@ -73,6 +73,8 @@
     },
     /// Another member sent a message.
     Peer(Envelope),
+    /// A message to a member could not be sent. It saves waiting for a vote that will not come.
+    Unreachable(MemberId),
     /// Time has passed.
     Tick,
 }
--- a/crates/rhubarblanding_once/src/ledger/mod.rs
+++ b/crates/rhubarblanding_once/src/ledger/mod.rs
@@ -103,6 +103,7 @@
                 self.on_outcome(now, key, run, outcome, &mut out);
             }
             Input::Peer(envelope) => self.on_peer(now, envelope, &mut out),
+            Input::Unreachable(member) => self.on_unreachable(member, &mut out),
             Input::Tick => self.records.evict_expired(self.expired_before(now)),
         }
         out
--- a/crates/rhubarblanding_once/tests/at_most_once/scenarios.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/scenarios.rs
@@ -202,6 +202,21 @@
     new_keys_run_while_the_store_is_down: (Op::Store { up: false });
 }
 
+/// A member that refuses connections costs no time: nothing is left waiting for it.
+#[gtest]
+fn unreachable_member_is_not_waited_for() {
+    let mut cluster = three_nodes();
+    cluster.apply(Op::Cut(0b100));
+    for _ in 0..KEYS {
+        cluster.apply(Op::Race {
+            clock_off: 0,
+            entries: [0, 1],
+        });
+    }
+    cluster.apply(Op::DeliverAll);
+    all_answered(&cluster, 2 * KEYS);
+}
+
 cases! {
     old_keys_are_answered_without_one_node;
     old_keys_are_answered_after_a_node_was_replaced: (Op::Replace(2));
--- a/crates/rhubarblanding_once/tests/at_most_once/sim/network.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/sim/network.rs
@@ -51,6 +51,7 @@
 
     pub fn deliver(&mut self, event: Event) {
         if self.is_cut(&event) {
+            self.refuse_connection(&event);
             self.lose(event);
             return;
         }
@@ -148,6 +149,15 @@
         self.events.push(Event::StoreAnswer(node, number, input));
     }
 
+    /// Tells the sender of a message that it cannot reach the receiver.
+    fn refuse_connection(&mut self, event: &Event) {
+        if let Event::Peer(Envelope { from, to, .. }) = event
+            && let Some(node) = self.at_host(*from)
+        {
+            self.feed(node, Input::Unreachable(*to));
+        }
+    }
+
     /// Tells who waits for a lost event.
     pub fn lose(&mut self, event: Event) {
         match event {
