--- a/crates/rhubarblanding_once/tests/at_most_once/fuzz.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/fuzz.rs
@@ -7,7 +7,6 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestCaseError, TestError, TestRng, TestRunner};
 use proptest_state_machine::ReferenceStateMachine;
-
 use rhubarblanding_core::cases;
 use rhubarblanding_once::safeguards::Safeguards;
 
