--- a/crates/rhubarblanding_once/src/keeper/propose.rs
+++ b/crates/rhubarblanding_once/src/keeper/propose.rs
@@ -6,10 +6,15 @@
 use crate::table::{Epoch, HomeTable, Member, MemberId};
 use crate::time::Now;
 
+/// Number of the newest epochs whose members are told of a table.
+const EPOCHS_TOLD: usize = 3;
+/// How often members that were removed are told of it.
+const REMOVED_SPREADS_MAX: u32 = 5;
+
 impl TableKeeper {
     pub(super) fn act(&mut self, now: Now) -> Vec<KeeperOutput> {
         let mut out = Vec::new();
-        if !self.is_leader() {
+        if !self.acts {
             return out;
         }
         match &self.store {
@@ -52,7 +57,11 @@
         if !is_new && now.mono < self.spread_at {
             return;
         }
+        if is_new {
+            self.spreads = 0;
+        }
         let to = self.receivers(table);
+        self.spreads += 1;
         if !to.is_empty() {
             let table = table.clone();
             out.push(KeeperOutput::Spread { to, table });
@@ -61,16 +70,27 @@
         self.spread_at = now.mono + self.settings.retry_interval;
     }
 
+    /// Members that need the table: those that decide on keys, those that are to, and for a while
+    /// those that no longer do.
     fn receivers(&self, table: &HomeTable) -> Vec<MemberId> {
-        let epochs = table.proposed().into_iter().chain([table.newest_active()]);
-        let members = epochs.flat_map(|epoch| &epoch.members).chain(&self.view);
-        let mut ids: Vec<MemberId> = members.map(|member| member.id).collect();
+        let newest_first = table.epochs().iter().rev();
+        let epochs = newest_first.take(EPOCHS_TOLD);
+        let members = epochs.flat_map(|epoch| &epoch.members);
+        let told = members.filter(|member| self.is_worth_telling(table, member.id));
+        let mut ids: Vec<MemberId> = told.chain(&self.view).map(|member| member.id).collect();
         ids.sort();
         ids.dedup();
         ids.retain(|id| !self.adopted.contains(id) && !self.stopped.contains(id));
         ids
     }
 
+    fn is_worth_telling(&self, table: &HomeTable, id: MemberId) -> bool {
+        let proposed = table.proposed();
+        let decides = table.is_current_member(id);
+        let is_to_decide = proposed.is_some_and(|epoch| epoch.member(id).is_some());
+        decides || is_to_decide || self.spreads < REMOVED_SPREADS_MAX
+    }
+
     /// Activates a proposal that enough members adopted; withdraws or moves one that is late.
     fn follow(
         &mut self,
@@ -79,11 +99,11 @@
         proposed: &Epoch,
         out: &mut Vec<KeeperOutput>,
     ) {
-        let closed = |id| self.adopted.contains(&id) || self.stopped.contains(&id);
         let acks = self.settings.safeguards.adoption_acks;
-        if !acks || table.newest_active().is_closed_by(closed) {
+        if !acks || self.is_closed(now, table.newest_active(), proposed) {
             self.withdrawn = 0;
-            let activated = table.activate(self.expired_before(now));
+            let activated =
+                table.activate(self.expired_before(now), self.settings.max_listed_members);
             self.swap(Some(table), activated, out);
             return;
         }
@@ -98,6 +118,17 @@
         }
     }
 
+    /// Whether no member can run a key of `proposed` under the epoch before it any more.
+    ///
+    /// A stopped member promised nothing, so it counts only while the proposal begins later than
+    /// any key that the member could have accepted by its own clock.
+    fn is_closed(&self, now: Now, newest: &Epoch, proposed: &Epoch) -> bool {
+        let margin = self.settings.stopped_lead / 2;
+        let is_ahead = now.wall + margin <= proposed.from;
+        let is_stopped = |id| is_ahead && self.stopped.contains(&id);
+        newest.is_closed_by(|id| self.adopted.contains(&id) || is_stopped(id))
+    }
+
     /// Proposes the view if it differs from the newest epoch and its adoption can be expected.
     fn propose(&mut self, now: Now, table: &HomeTable, out: &mut Vec<KeeperOutput>) {
         let newest = table.newest_active();
@@ -119,8 +150,14 @@
     }
 
     fn next_start(&self, now: Now, table: &HomeTable) -> UnixMillis {
-        let newest = table.newest_active().from;
-        now.wall.max(self.latest_mint).max(newest) + self.settings.lead
+        let newest = table.newest_active();
+        let relies_on_stop = !newest.is_closed_by(|id| self.is_in_view(id));
+        let lead = if relies_on_stop {
+            self.settings.stopped_lead
+        } else {
+            self.settings.lead
+        };
+        now.wall.max(self.latest_mint).max(newest.from) + lead
     }
 
     fn expired_before(&self, now: Now) -> UnixMillis {
