Fetch the home table once a target is known, and tell the ledger who cannot be reached

Cause: the first keyed requests at an entry node were refused with home_unavailable, because the table was asked for before any target of the service was known. A restarted single host could not tell the keeper that its earlier life had ended. Ticks of the ledger could starve under constant traffic. Ruled out: the change of epochs, since the refusals came before any member changed. Conclusion: the refusals are expected to go; to be confirmed.

--- a/crates/rhubarblanding_node/src/process/homes.rs
+++ b/crates/rhubarblanding_node/src/process/homes.rs
@@ -24,13 +24,16 @@
     while let Some(envelope) = messages.recv().await {
         let node = Arc::clone(&node);
         tokio::spawn(async move {
-            let to = envelope.to.host;
-            let sent: Result<(), _> = node.control.call(to, method::ONCE, (envelope,)).await;
+            let to = envelope.to;
+            let sent: Result<(), _> = node.control.call(to.host, method::ONCE, (envelope,)).await;
             // The ledger repeats what needs repeating.
-            node.count(match sent {
-                Ok(()) => Event::ControlSent,
-                Err(_) => Event::ControlLost,
-            });
+            match sent {
+                Ok(()) => node.count(Event::ControlSent),
+                Err(_) => {
+                    node.count(Event::ControlLost);
+                    node.once.unreachable(to);
+                }
+            }
         });
     }
 }
@@ -48,7 +51,6 @@
     keeper: TableKeeper,
     stored: StoredTable,
     members: HashMap<(HostId, Incarnation), Member>,
-    latest: HashMap<HostId, MemberId>,
 }
 
 impl HomeKeeper {
@@ -65,7 +67,6 @@
                 version: None,
             },
             members: HashMap::default(),
-            latest: HashMap::default(),
         })
     }
 
@@ -76,12 +77,30 @@
                 self.input(KeeperInput::Learned(table)).await;
             }
             let view = self.view().await;
+            for ended in self.ended(&view) {
+                self.input(KeeperInput::Stopped(ended)).await;
+            }
             self.input(KeeperInput::View(view)).await;
             self.input(KeeperInput::Tick).await;
             tokio::time::sleep(KEEPER_INTERVAL).await;
         }
     }
 
+    /// Members of the table whose host runs a later life.
+    ///
+    /// The later life holds the listen addresses of the earlier one, so that one has ended.
+    fn ended(&self, view: &[Member]) -> Vec<MemberId> {
+        let Some(table) = self.keeper.table() else {
+            return Vec::new();
+        };
+        let replaced = |id: &MemberId| {
+            let mut same_host = view.iter().filter(|member| member.id.host == id.host);
+            same_host.any(|member| member.id.incarnation > id.incarnation)
+        };
+        let members = table.epochs().iter().flat_map(|epoch| &epoch.members);
+        members.map(|member| member.id).filter(replaced).collect()
+    }
+
     async fn input(&mut self, input: KeeperInput) {
         let mut inputs = vec![input];
         while let Some(input) = inputs.pop() {
@@ -136,12 +155,6 @@
         let member: Member = answer.await.ok()?;
         self.members.retain(|known, _| known.0 != life.0);
         self.members.insert(life, member.clone());
-        let earlier = self.latest.insert(life.0, member.id);
-        // A new life on a host holds the address of the earlier one, so that one has ended.
-        if let Some(earlier) = earlier.filter(|earlier| *earlier != member.id) {
-            let now = self.node.once.now();
-            self.keeper.handle(now, KeeperInput::Stopped(earlier));
-        }
         Some(member)
     }
 
--- a/crates/rhubarblanding_node/src/request/dispatch.rs
+++ b/crates/rhubarblanding_node/src/request/dispatch.rs
@@ -117,7 +117,11 @@
     }
 
     /// Chooses a target; a target that was tried is taken again only if there is no other.
-    async fn pick(&self, tried: &mut Vec<HostId>) -> Result<TargetId, Refusal> {
+    ///
+    /// # Errors
+    ///
+    /// A refusal if no target becomes known in time.
+    pub async fn pick(&self, tried: &mut Vec<HostId>) -> Result<TargetId, Refusal> {
         let zone = &self.node.settings.zone;
         let give_up = self.cx.deadline.min(self.node.clock.now() + LOOKUP_WAIT);
         loop {
--- a/crates/rhubarblanding_node/src/request/keyed.rs
+++ b/crates/rhubarblanding_node/src/request/keyed.rs
@@ -69,7 +69,8 @@
     /// Version of the known table, which is fetched from a target if none is known.
     async fn known_table(&self) -> Option<TableVersion> {
         let service = &self.dispatch.service;
-        if service.table().is_none() {
+        // The table comes from a target, so that one has to be known first.
+        if service.table().is_none() && self.dispatch.pick(&mut Vec::new()).await.is_ok() {
             control::fetch_table(self.dispatch.node, service).await;
         }
         service.table().map(|table| table.version())
--- a/crates/rhubarblanding_node/src/request/once.rs
+++ b/crates/rhubarblanding_node/src/request/once.rs
@@ -88,12 +88,10 @@
 
     /// Whether keys that are minted now are decided on by this node together with others.
     pub fn is_needed(&self) -> bool {
-        let now = self.clock.wall();
         let state = lock(&self.state);
-        let epoch = state.ledger.table().and_then(|t| t.active_epoch_at(now));
-        epoch.is_some_and(|epoch| {
-            epoch.members.len() > 1 && epoch.member(state.ledger.member().id).is_some()
-        })
+        let me = state.ledger.member().id;
+        let table = state.ledger.table();
+        table.is_some_and(|table| table.is_current_member(me))
     }
 
     /// Greatest size in bytes of an answer that is kept.
@@ -141,6 +139,11 @@
         self.input(Input::Outcome { key, run, outcome });
     }
 
+    /// Takes notice that a member cannot be reached.
+    pub fn unreachable(&self, id: MemberId) {
+        self.input(Input::Unreachable(id));
+    }
+
     /// Takes a message of another member.
     pub fn receive(&self, envelope: Envelope) {
         self.input(Input::Peer(envelope));
@@ -148,12 +151,19 @@
 
     /// Ticks the ledger whenever it is due; runs for as long as the process.
     pub async fn run(self: Arc<Self>) {
+        let mut ticked = self.clock.now();
         loop {
             let due = lock(&self.state).ledger.next_due();
+            let latest = ticked + TICK_MAX;
+            let next = due.map_or(latest, |due| due.min(latest));
             let now = self.clock.now();
-            let sleep = due.map_or(TICK_MAX, |due| now.until(due)).min(TICK_MAX);
+            if now >= next {
+                ticked = now;
+                self.input(Input::Tick);
+                continue;
+            }
             tokio::select! {
-                () = tokio::time::sleep(sleep) => self.input(Input::Tick),
+                () = tokio::time::sleep(now.until(next)) => {}
                 () = self.changed.notified() => {}
             }
         }
