--- a/crates/rhubarblanding_admission/examples/overload.rs
+++ b/crates/rhubarblanding_admission/examples/overload.rs
@@ -30,7 +30,7 @@
         entry_nodes: 0,
         sheds_above: None,
         load,
-        secs: 12,
+        secs: 15,
         slow: None,
     }
 }
@@ -39,16 +39,16 @@
     let outcomes = LOADS.map(|load| run(scenario(seed, control, announced, load)));
     let peak = outcomes
         .iter()
-        .map(|outcome| outcome.goodput(3, 10))
+        .map(|outcome| outcome.goodput(4, 14))
         .fold(0.0, f64::max);
     print!("{name:<34}");
     for outcome in &outcomes {
-        print!(" {:>6.1}", 100.0 * outcome.goodput(3, 10) / peak);
+        print!(" {:>6.1}", 100.0 * outcome.goodput(4, 14) / peak);
     }
     let [.., last] = &outcomes;
     println!(
         "   peak {peak:>6.0}/s  top {:>5.1} %  wasted {:>4.1} %  reached {:>4.1}  limit {}",
-        100.0 * last.sum(3, 10, |c| c.critical).share(),
+        100.0 * last.sum(4, 14, |c| c.critical).share(),
         last.wasted_percent,
         last.reached_per_answer,
         last.limit
--- a/crates/rhubarblanding_admission/src/limit/control.rs
+++ b/crates/rhubarblanding_admission/src/limit/control.rs
@@ -12,6 +12,9 @@
 const LOWER_LOSES_PART: f64 = 0.4;
 /// Part of the step up by which the throughput has to follow a higher limit.
 const HIGHER_GAINS_PART: f64 = 0.5;
+/// Growth of the pause between trials of a lower limit. Each costs goodput, so they soon become
+/// rare.
+const LOWER_PAUSE_FACTOR: u32 = 4;
 /// Narrowest step of a trial of a higher limit, in percent of the limit.
 const HIGHER_MIN_PERCENT: u32 = 10;
 /// Shortest time until a new limit shows in the latency.
@@ -232,12 +235,12 @@
         let throughput = self.window.throughput();
         if throughput >= before * (1.0 - step * LOWER_LOSES_PART) && self.limit < from {
             self.baselines.discard();
-            self.lower_pause = self.settings.trial_pause;
             return self.try_lower(now, throughput, true);
         }
         // The latency does not come from the concurrency, so it is the usual one from now on.
         self.baselines.adopt();
-        self.lower_pause = (self.lower_pause * 2).min(self.settings.trial_pause_max);
+        self.lower_pause =
+            (self.lower_pause * LOWER_PAUSE_FACTOR).min(self.settings.trial_pause_max);
         // The last limit that was kept may have cost as much as was tolerated.
         let margin = if descended { MARGIN_PERCENT } else { 100 };
         self.end_trial(now, (from * margin).div_ceil(100));
--- a/crates/rhubarblanding_admission/tests/gate/main.rs
+++ b/crates/rhubarblanding_admission/tests/gate/main.rs
@@ -5,8 +5,14 @@
 mod support;
 mod world;
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use model::{Fault, GateTest};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rhubarblanding_admission::prelude::*;
+use rhubarblanding_core::prelude::{HashSet, Importance, MonoTime, Priority, RootId};
 use support::fuzz;
 
 /// Seed of every run in this file.
@@ -48,3 +54,33 @@
     oracle_catches::<{ Fault::LOST_EVENT }>;
     oracle_catches_a_verdict_that_is_lost: ("queued by the model");
 }
+
+/// Times to wait that a full gate asks for, after an overload of `secs` seconds.
+fn waits_after(secs: u64) -> Vec<Duration> {
+    let rng = SmallRng::seed_from_u64(SEED);
+    let mut gate = Gate::new(MonoTime::ZERO, GateSettings::default(), 1, rng);
+    let mut waits = Vec::new();
+    for millis in 0..=secs * 1_000 {
+        let now = MonoTime::from_millis(millis);
+        let arrival = Arrival {
+            id: millis,
+            priority: Priority::new(Importance::Normal, RootId(millis)),
+            deadline: now + Duration::from_secs(10),
+            kind: KindId(0),
+        };
+        if let Decision::Refused(refusal) = gate.arrive(now, arrival) {
+            waits.push(refusal.retry_after.unwrap_or_default());
+        }
+        gate.poll(now);
+    }
+    waits.split_off(waits.len() - 50)
+}
+
+#[test]
+fn the_time_to_wait_grows_with_the_overload_and_is_spread() {
+    let (short, long) = (waits_after(1), waits_after(5));
+    let mean = |waits: &[Duration]| waits.iter().sum::<Duration>() / waits.len() as u32;
+    assert_that!(mean(&long), gt(mean(&short) * 4));
+    let distinct: HashSet<&Duration> = long.iter().collect();
+    assert_that!(distinct.len(), gt(40));
+}
--- a/crates/rhubarblanding_routing/src/router/state.rs
+++ b/crates/rhubarblanding_routing/src/router/state.rs
@@ -44,18 +44,22 @@
 
     /// Adds a target or takes over news about it. News about an earlier life are ignored.
     pub fn upsert(&mut self, now: MonoTime, info: TargetInfo) {
-        match self.by_host.get(&info.host) {
-            Some(key) => {
-                if let Some(target) = self.targets.get_mut(*key) {
-                    target.update(now, info);
-                }
-            }
-            None => {
-                let host = info.host;
-                let key = self.targets.insert(Target::new(now, info));
-                self.by_host.insert(host, key);
-            }
+        let known = self.by_host.get(&info.host);
+        let Some(target) = known.and_then(|key| self.targets.get_mut(*key)) else {
+            return self.insert(now, info);
+        };
+        let before = (target.id(), target.is_serving());
+        target.update(now, info);
+        // Announcements repeat often and mostly change nothing that the index holds.
+        if before != (target.id(), target.is_serving()) {
+            self.rebuild();
         }
+    }
+
+    fn insert(&mut self, now: MonoTime, info: TargetInfo) {
+        let host = info.host;
+        let key = self.targets.insert(Target::new(now, info));
+        self.by_host.insert(host, key);
         self.rebuild();
     }
 
