--- a/crates/rhubarblanding_admission/src/gate/state.rs
+++ b/crates/rhubarblanding_admission/src/gate/state.rs
@@ -21,6 +21,34 @@
 ///
 /// Call [`poll`](Self::poll) after every other call and whenever [`next_due`](Self::next_due) has
 /// come: it returns the verdicts on queued requests.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use rand::SeedableRng;
+/// use rand::rngs::SmallRng;
+/// use rhubarblanding_admission::prelude::*;
+/// use rhubarblanding_core::prelude::*;
+///
+/// let now = MonoTime::ZERO;
+/// let arrival = |id| Arrival {
+///     id,
+///     priority: Priority::new(Importance::Normal, RootId(id)),
+///     deadline: now + Duration::from_secs(1),
+///     kind: KindId::default(),
+/// };
+/// let finish = Finish {
+///     latency: Duration::from_millis(5),
+///     downstream: Duration::ZERO,
+///     result: FinishResult::Completed,
+/// };
+///
+/// let mut gate = Gate::new(now, GateSettings::default(), 1, SmallRng::seed_from_u64(1));
+/// assert_eq!(gate.arrive(now, arrival(1)), Decision::Admitted);
+/// assert_eq!(gate.arrive(now, arrival(2)), Decision::Queued);
+/// gate.finished(now, 1, finish);
+/// assert_eq!(gate.poll(now), [GateEvent::Admitted(2)]);
+/// ```
 #[derive(Debug)]
 pub struct Gate {
     settings: GateSettings,
--- a/crates/rhubarblanding_request/src/allowance/ledger.rs
+++ b/crates/rhubarblanding_request/src/allowance/ledger.rs
@@ -101,6 +101,33 @@
 ///
 /// Over a call tree the sum of what is left, lent and spent never grows: lending takes from the
 /// lender, and at most what was lent comes back.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use rand::SeedableRng;
+/// use rand::rngs::SmallRng;
+/// use rhubarblanding_core::prelude::*;
+/// use rhubarblanding_request::prelude::*;
+///
+/// let now = MonoTime::ZERO;
+/// let deadline = now + Duration::from_secs(1);
+/// let cx = RequestContext::new(
+///     RootId(1),
+///     Importance::Normal,
+///     deadline,
+///     Idempotency::Idempotent,
+/// );
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// let mut ledger = AllowanceLedger::new(AllowanceSettings::default());
+///
+/// let key = ledger.open(&mut rng, cx, 3);
+/// let lent = ledger.lend(key);
+/// assert_eq!((lent.amount(), ledger.left(key)), (2, 1));
+/// // The answer of the call says that one of the two was spent.
+/// ledger.give_back(lent, 1);
+/// assert_eq!(ledger.close(now, key), 2);
+/// ```
 #[derive(Debug, Default)]
 pub struct AllowanceLedger {
     settings: AllowanceSettings,
--- a/crates/rhubarblanding_routing/src/router/state.rs
+++ b/crates/rhubarblanding_routing/src/router/state.rs
@@ -25,6 +25,44 @@
 }
 
 /// Targets of one service.
+///
+/// ```
+/// use rand::SeedableRng;
+/// use rand::rngs::SmallRng;
+/// use rhubarblanding_core::names::InvalidName;
+/// use rhubarblanding_core::prelude::*;
+/// use rhubarblanding_routing::prelude::*;
+///
+/// # fn main() -> Result<(), InvalidName> {
+/// let now = MonoTime::ZERO;
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// let mut router = Router::new(RouterSettings::default());
+/// router.upsert(
+///     now,
+///     TargetInfo {
+///         host: HostId(([10, 0, 0, 1], 7_000).into()),
+///         incarnation: Incarnation(1),
+///         service: ServiceName::try_from("turnos")?,
+///         zone: ZoneName::try_from("ros")?,
+///         slots: 170,
+///         state: TargetState::Serving,
+///     },
+/// );
+///
+/// if let Some(id) = router.pick(now, &mut rng, PickRequest::default()) {
+///     router.started(now, id);
+///     router.finished(now, id, TargetOutcome::Answered);
+///     // The answer says that the target is leaving.
+///     let report = LoadReport {
+///         draining: true,
+///         ..LoadReport::default()
+///     };
+///     router.observe(now, id, report);
+/// }
+/// assert_eq!(router.pick(now, &mut rng, PickRequest::default()), None);
+/// # Ok(())
+/// # }
+/// ```
 #[derive(Debug, Default)]
 pub struct Router {
     settings: RouterSettings,
