--- a/crates/rhubarblanding_admission/tests/overload/sim/mod.rs
+++ b/crates/rhubarblanding_admission/tests/overload/sim/mod.rs
@@ -3,17 +3,17 @@
 //! The backend server runs as many requests at a time as it has slots and queues the rest. Callers
 //! that are refused or time out try again at once, up to [`TRIES`] times, whatever they are told.
 
+mod backend;
 mod outcome;
 mod scenario;
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rhubarblanding_admission::prelude::*;
-use rhubarblanding_core::prelude::{HostId, Importance, MonoTime, Priority, RootId};
+use rhubarblanding_core::prelude::{HostId, Importance, MonoTime, Priority, RootId, TimerService};
 
 pub use outcome::{Count, Outcome, Tally};
 pub use scenario::{Scenario, Slow, fixed_limit};
@@ -38,7 +38,7 @@
     (Importance::Background, 30),
 ];
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug)]
 enum Event {
     Arrive,
     Try(u64),
@@ -65,8 +65,7 @@
     scenario: Scenario,
     rng: SmallRng,
     now: MonoTime,
-    events: BinaryHeap<Reverse<(MonoTime, u64, Event)>>,
-    next_event: u64,
+    events: TimerService<Event>,
     next_id: u64,
     gate: Option<Gate>,
     entries: Vec<EntryGate>,
@@ -84,13 +83,12 @@
     let mut sim = Sim::new(scenario);
     sim.schedule(MonoTime::ZERO, Event::Arrive);
     let end = MonoTime::ZERO + Duration::from_secs(sim.scenario.secs);
-    while let Some(Reverse((at, _, event))) = sim.events.pop() {
-        if at >= end {
-            break;
-        }
+    while let Some(at) = sim.events.next_due().filter(|at| *at < end) {
         sim.now = at;
-        sim.handle(event);
-        sim.poll();
+        for event in sim.events.expire(at) {
+            sim.handle(event);
+            sim.poll();
+        }
     }
     let completed: u32 = sim.windows.iter().map(|w| w.all.completed).sum();
     Outcome {
@@ -117,8 +115,7 @@
             scenario,
             rng,
             now: MonoTime::ZERO,
-            events: BinaryHeap::new(),
-            next_event: 0,
+            events: TimerService::new(),
             next_id: 0,
             attempts: HashMap::new(),
             busy: 0,
@@ -130,8 +127,7 @@
     }
 
     fn schedule(&mut self, at: MonoTime, event: Event) {
-        self.events.push(Reverse((at, self.next_event, event)));
-        self.next_event += 1;
+        self.events.subscribe(at, event);
     }
 
     fn exponential(&mut self, mean: f64) -> Duration {
@@ -274,7 +270,7 @@
                 }
             }
         }
-        let next = self.events.peek().map(|event| event.0.0);
+        let next = self.events.next_due();
         if let Some(due) = due
             && next.is_none_or(|next| due < next)
         {
@@ -303,116 +299,4 @@
         let id = self.add(next);
         self.schedule(at, Event::Try(id));
     }
-
-    fn dispatch(&mut self, id: u64) {
-        if let Some(attempt) = self.attempts.get_mut(&id) {
-            attempt.dispatched = Some(self.now);
-        }
-        if self.busy < self.scenario.slots {
-            return self.start(id);
-        }
-        let full = self
-            .scenario
-            .sheds_above
-            .is_some_and(|most| self.backlog.len() >= most);
-        if !full {
-            return self.backlog.push_back(id);
-        }
-        if let Some(gate) = &mut self.gate {
-            gate.finished(
-                self.now,
-                id,
-                finish(Duration::ZERO, Duration::ZERO, FinishResult::Shed),
-            );
-        }
-        self.refused(id);
-    }
-
-    fn start(&mut self, id: u64) {
-        let second = self.now.as_micros() / 1_000_000;
-        let slow = self.scenario.slow;
-        let slow = slow.filter(|slow| (slow.from..slow.to).contains(&second));
-        let Some(attempt) = self.attempts.get_mut(&id) else {
-            return;
-        };
-        attempt.started = Some(self.now);
-        if let Some(slow) = slow
-            && attempt.kind == WAITING_KIND
-        {
-            attempt.downstream = slow.downstream;
-        }
-        let downstream = attempt.downstream;
-        let mean = KINDS[attempt.kind].0 * slow.map_or(1.0, |slow| slow.factor);
-        self.busy += 1;
-        let service = self.exponential(mean);
-        self.schedule(self.now + service + downstream, Event::Done(id));
-    }
-
-    fn done(&mut self, id: u64) {
-        let Some(attempt) = self.attempts.remove(&id) else {
-            return;
-        };
-        let held = attempt
-            .started
-            .map_or(Duration::ZERO, |at| self.now.since(at));
-        self.used += held;
-        if attempt.abandoned {
-            self.wasted += held;
-        } else {
-            let importance = attempt.priority.importance();
-            let completed = |tally: &mut Tally| tally.completed += 1;
-            self.count(attempt.window, importance, attempt.kind, completed);
-        }
-        let latency = attempt
-            .dispatched
-            .map_or(Duration::ZERO, |at| self.now.since(at));
-        if let Some(gate) = &mut self.gate {
-            let finish = finish(latency, attempt.downstream, FinishResult::Completed);
-            gate.finished(self.now, id, finish);
-        }
-        self.carry_back(id);
-        self.free_slot();
-    }
-
-    fn free_slot(&mut self) {
-        self.busy -= 1;
-        if let Some(id) = self.backlog.pop_front() {
-            self.start(id);
-        }
-    }
-
-    /// The caller's patience is over. With a gate the request is cancelled down to the backend
-    /// server; without one the backend server runs it to its end.
-    fn give_up(&mut self, id: u64) {
-        let Some(attempt) = self.attempts.get_mut(&id) else {
-            return;
-        };
-        let copy = *attempt;
-        attempt.abandoned = true;
-        if let Some(gate) = &mut self.gate {
-            gate.cancelled(self.now, id);
-            self.attempts.remove(&id);
-            self.stop(id, copy);
-        }
-        self.try_again(copy, TURNAROUND);
-    }
-
-    fn stop(&mut self, id: u64, attempt: Attempt) {
-        if let Some(started) = attempt.started {
-            let held = self.now.since(started);
-            self.used += held;
-            self.wasted += held;
-            self.free_slot();
-        } else {
-            self.backlog.retain(|other| *other != id);
-        }
-    }
-}
-
-fn finish(latency: Duration, downstream: Duration, result: FinishResult) -> Finish {
-    Finish {
-        latency,
-        downstream,
-        result,
-    }
 }
--- a/crates/rhubarblanding_routing/tests/flow/sim.rs
+++ b/crates/rhubarblanding_routing/tests/flow/sim.rs
@@ -1,13 +1,12 @@
 //! Discrete event simulation of nodes in three zones that call the targets of one service.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rhubarblanding_core::prelude::{
-    HostId, Incarnation, LoadReport, MonoTime, ServiceName, TargetInfo, TargetState, ZoneName,
+    HostId, Incarnation, LoadReport, MonoTime, ServiceName, TargetInfo, TargetState, TimerService,
+    ZoneName,
 };
 use rhubarblanding_routing::prelude::*;
 
@@ -44,7 +43,7 @@
     sent: u64,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug)]
 struct Call {
     caller: usize,
     tried: Vec<HostId>,
@@ -52,31 +51,22 @@
     window: usize,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug)]
 enum Event {
     Arrive,
     End {
         call: Call,
         id: TargetId,
         target: usize,
-        outcome: u8,
+        outcome: TargetOutcome,
     },
 }
 
-/// Outcomes by the number that an event carries.
-const OUTCOMES: [TargetOutcome; 4] = [
-    TargetOutcome::Answered,
-    TargetOutcome::Refused,
-    TargetOutcome::ConnectFailed,
-    TargetOutcome::Silent,
-];
-
 pub struct Sim {
     rng: SmallRng,
     now: MonoTime,
     rate: f64,
-    events: BinaryHeap<Reverse<(MonoTime, u64, Event)>>,
-    next_event: u64,
+    events: TimerService<Event>,
     routers: Vec<Router>,
     targets: Vec<Target>,
     only_zone: Option<usize>,
@@ -115,8 +105,7 @@
             rng: SmallRng::seed_from_u64(seed),
             now: MonoTime::ZERO,
             rate: load * f64::from(SLOTS) * TARGETS as f64 / SERVICE,
-            events: BinaryHeap::new(),
-            next_event: 0,
+            events: TimerService::new(),
             routers: (0..CALLERS)
                 .map(|_| Router::new(settings.clone()))
                 .collect(),
@@ -191,30 +180,29 @@
 
     pub fn run_until(&mut self, millis: u64) {
         let end = MonoTime::from_millis(millis);
-        while let Some(Reverse((at, _, _))) = self.events.peek()
-            && *at < end
-        {
-            let Some(Reverse((at, _, event))) = self.events.pop() else {
-                break;
-            };
+        while let Some(at) = self.events.next_due().filter(|at| *at < end) {
             self.now = at;
-            match event {
-                Event::Arrive => self.arrive(),
-                Event::End {
-                    call,
-                    id,
-                    target,
-                    outcome,
-                } => self.end(call, id, target, OUTCOMES[usize::from(outcome)]),
+            for event in self.events.expire(at) {
+                self.handle(event);
             }
         }
         self.now = end;
     }
 
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::End {
+                call,
+                id,
+                target,
+                outcome,
+            } => self.end(call, id, target, outcome),
+        }
+    }
+
     fn schedule(&mut self, wait: Duration, event: Event) {
-        self.events
-            .push(Reverse((self.now + wait, self.next_event, event)));
-        self.next_event += 1;
+        self.events.subscribe(self.now + wait, event);
     }
 
     fn exponential(&mut self, mean: f64) -> Duration {
@@ -274,20 +262,23 @@
             .unwrap_or_else(|| panic!("unknown target {}", id.host))
     }
 
-    fn serve(&mut self, target: usize) -> (Duration, u8) {
+    fn serve(&mut self, target: usize) -> (Duration, TargetOutcome) {
         let Target {
             condition, held, ..
         } = self.targets[target];
         match condition {
-            Condition::Refusing => (REFUSAL_TIME, 2),
-            Condition::Silent => (SILENCE_TIME, 3),
-            Condition::Draining => (REFUSAL_TIME, 1),
-            Condition::Up if held >= SLOTS + QUEUE => (REFUSAL_TIME, 1),
+            Condition::Refusing => (REFUSAL_TIME, TargetOutcome::ConnectFailed),
+            Condition::Silent => (SILENCE_TIME, TargetOutcome::Silent),
+            Condition::Draining => (REFUSAL_TIME, TargetOutcome::Refused),
+            Condition::Up if held >= SLOTS + QUEUE => (REFUSAL_TIME, TargetOutcome::Refused),
             Condition::Up => {
                 self.targets[target].held += 1;
                 let service = self.exponential(SERVICE);
                 let wait = SERVICE * f64::from(held.saturating_sub(SLOTS)) / f64::from(SLOTS);
-                (service + Duration::from_secs_f64(wait), 0)
+                (
+                    service + Duration::from_secs_f64(wait),
+                    TargetOutcome::Answered,
+                )
             }
         }
     }
