--- a/crates/rhubarblanding_admission/src/gate/state.rs
+++ b/crates/rhubarblanding_admission/src/gate/state.rs
@@ -21,6 +21,34 @@
 ///
 /// Call [`poll`](Self::poll) after every other call and whenever [`next_due`](Self::next_due) has
 /// come: it returns the verdicts on queued requests.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use rand::SeedableRng;
+/// use rand::rngs::SmallRng;
+/// use rhubarblanding_admission::prelude::*;
+/// use rhubarblanding_core::prelude::*;
+///
+/// let now = MonoTime::ZERO;
+/// let arrival = |id| Arrival {
+///     id,
+///     priority: Priority::new(Importance::Normal, RootId(id)),
+///     deadline: now + Duration::from_secs(1),
+///     kind: KindId::default(),
+/// };
+/// let finish = Finish {
+///     latency: Duration::from_millis(5),
+///     downstream: Duration::ZERO,
+///     result: FinishResult::Completed,
+/// };
+///
+/// let mut gate = Gate::new(now, GateSettings::default(), 1, SmallRng::seed_from_u64(1));
+/// assert_eq!(gate.arrive(now, arrival(1)), Decision::Admitted);
+/// assert_eq!(gate.arrive(now, arrival(2)), Decision::Queued);
+/// gate.finished(now, 1, finish);
+/// assert_eq!(gate.poll(now), [GateEvent::Admitted(2)]);
+/// ```
 #[derive(Debug)]
 pub struct Gate {
     settings: GateSettings,
@@ -72,7 +100,6 @@
         if !self.can_finish(now, now, &arrival) {
             return Decision::Refused(self.refusal(ErrorKind::DeadlineBeforeRun));
         }
-        self.level.idle();
         self.start(now, arrival, now);
         Decision::Admitted
     }
@@ -82,15 +109,16 @@
         if by_importance && !self.level.level().admits(arrival.priority) {
             return Decision::Refused(self.refusal(ErrorKind::Overloaded));
         }
-        let wait = self.expected_wait(now, arrival.priority.importance());
+        let class = self.class(arrival.priority);
+        let wait = self.expected_wait(now, class);
         if !self.can_finish(now, now + wait, &arrival) {
             return Decision::Refused(self.refusal(ErrorKind::DeadlineBeforeRun));
         }
-        if self.queue.len() >= self.queue_len_max(now) && !self.make_room(arrival.priority) {
+        if self.queue.len() >= self.queue_len_max(now) && !self.make_room(class, arrival.priority) {
             self.level.refused();
             return Decision::Refused(self.refusal(ErrorKind::Overloaded));
         }
-        self.enqueue(now, arrival);
+        self.enqueue(now, class, arrival);
         Decision::Queued
     }
 
@@ -204,19 +232,20 @@
 
     fn evict_below_level(&mut self) {
         let level = self.level.level();
-        while let Some((priority, id)) = self.queue.lowest()
-            && !level.admits(priority)
+        while let Some(lowest) = self.queue.lowest()
+            && !level.admits(lowest.arrival.priority)
         {
-            self.evict(id);
+            self.evict(lowest.arrival.id);
         }
     }
 
-    fn make_room(&mut self, priority: Priority) -> bool {
+    fn make_room(&mut self, class: Importance, priority: Priority) -> bool {
         if !self.settings.evict {
             return false;
         }
         match self.queue.lowest() {
-            Some((lowest, id)) if lowest < priority => {
+            Some(lowest) if (lowest.class, lowest.arrival.priority) < (class, priority) => {
+                let id = lowest.arrival.id;
                 self.level.refused();
                 self.evict(id);
                 true
@@ -238,16 +267,17 @@
             .push(GateEvent::Refused(queued.arrival.id, refusal));
     }
 
-    fn enqueue(&mut self, now: MonoTime, arrival: Arrival) {
+    fn enqueue(&mut self, now: MonoTime, class: Importance, arrival: Arrival) {
         let service = self.estimates.service(now, arrival.kind);
         let latest_start = arrival.deadline - service;
         let due = latest_start.min(now + self.settings.queue_wait_max);
         let queued = Queued {
             arrival,
+            class,
             since: now,
             timer: self.timers.subscribe(due, arrival.id),
         };
-        self.queue.push(self.class(arrival.priority), queued);
+        self.queue.push(queued);
     }
 
     /// Admits queued requests while slots are free.
@@ -296,8 +326,8 @@
         start + self.estimates.service(now, arrival.kind) < arrival.deadline
     }
 
-    fn expected_wait(&self, now: MonoTime, importance: Importance) -> Duration {
-        let ahead = self.queue.len_from(importance);
+    fn expected_wait(&self, now: MonoTime, class: Importance) -> Duration {
+        let ahead = self.queue.len_from(class);
         self.estimates.wait(now, ahead, self.limit.get())
     }
 
--- a/crates/rhubarblanding_routing/src/router/state.rs
+++ b/crates/rhubarblanding_routing/src/router/state.rs
@@ -25,6 +25,44 @@
 }
 
 /// Targets of one service.
+///
+/// ```
+/// use rand::SeedableRng;
+/// use rand::rngs::SmallRng;
+/// use rhubarblanding_core::names::InvalidName;
+/// use rhubarblanding_core::prelude::*;
+/// use rhubarblanding_routing::prelude::*;
+///
+/// # fn main() -> Result<(), InvalidName> {
+/// let now = MonoTime::ZERO;
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// let mut router = Router::new(RouterSettings::default());
+/// router.upsert(
+///     now,
+///     TargetInfo {
+///         host: HostId(([10, 0, 0, 1], 7_000).into()),
+///         incarnation: Incarnation(1),
+///         service: ServiceName::try_from("turnos")?,
+///         zone: ZoneName::try_from("ros")?,
+///         slots: 170,
+///         state: TargetState::Serving,
+///     },
+/// );
+///
+/// if let Some(id) = router.pick(now, &mut rng, PickRequest::default()) {
+///     router.started(now, id);
+///     router.finished(now, id, TargetOutcome::Answered);
+///     // The answer says that the target is leaving.
+///     let report = LoadReport {
+///         draining: true,
+///         ..LoadReport::default()
+///     };
+///     router.observe(now, id, report);
+/// }
+/// assert_eq!(router.pick(now, &mut rng, PickRequest::default()), None);
+/// # Ok(())
+/// # }
+/// ```
 #[derive(Debug, Default)]
 pub struct Router {
     settings: RouterSettings,
@@ -44,18 +82,22 @@
 
     /// Adds a target or takes over news about it. News about an earlier life are ignored.
     pub fn upsert(&mut self, now: MonoTime, info: TargetInfo) {
-        match self.by_host.get(&info.host) {
-            Some(key) => {
-                if let Some(target) = self.targets.get_mut(*key) {
-                    target.update(now, info);
-                }
-            }
-            None => {
-                let host = info.host;
-                let key = self.targets.insert(Target::new(now, info));
-                self.by_host.insert(host, key);
-            }
+        let known = self.by_host.get(&info.host);
+        let Some(target) = known.and_then(|key| self.targets.get_mut(*key)) else {
+            return self.insert(now, info);
+        };
+        let before = (target.id(), target.is_serving());
+        target.update(now, info);
+        // Announcements repeat often and mostly change nothing that the index holds.
+        if before != (target.id(), target.is_serving()) {
+            self.rebuild();
         }
+    }
+
+    fn insert(&mut self, now: MonoTime, info: TargetInfo) {
+        let host = info.host;
+        let key = self.targets.insert(Target::new(now, info));
+        self.by_host.insert(host, key);
         self.rebuild();
     }
 
