Advertise a peer address apart from the listen address; name the faulty field of an announcement

Cause: three process tests were red. Two need a relay in front of a peer face, and the node named itself by its listen address only. The third found that a bad announcement named the body and not the field. Ruled out: binding the peer face to the relay's address, which is the relay's own.

--- a/crates/rhubarblanding_node/src/request/local.rs
+++ b/crates/rhubarblanding_node/src/request/local.rs
@@ -76,8 +76,8 @@
                 "body: must have at most {ANNOUNCEMENT_MAX_BYTES} bytes"
             ))
         })?;
-    let announcement: Announcement =
-        serde_json::from_slice(&bytes).map_err(|e| reject(format!("body: {e}")))?;
+    let announcement: Announcement = rhubarblanding_tickets::ticket::from_json(&bytes)
+        .map_err(|e| reject(format!("body: {e}")))?;
     if !(1..=SLOTS_MAX).contains(&announcement.slots) {
         return Err(reject(format!("slots: must be from 1 to {SLOTS_MAX}")));
     }
--- a/crates/rhubarblanding_node/src/settings/command.rs
+++ b/crates/rhubarblanding_node/src/settings/command.rs
@@ -43,7 +43,14 @@
         name: "peer-listen",
         env: "RHUBARBLANDING_PEER_LISTEN",
         value: "IP:PORT",
-        help: "Address for other nodes; it names this host",
+        help: "Address for other nodes; names this host without peer-advertise",
+        default: None,
+    },
+    Flag {
+        name: "peer-advertise",
+        env: "RHUBARBLANDING_PEER_ADVERTISE",
+        value: "IP:PORT",
+        help: "Address under which other nodes reach this one, if it is not peer-listen",
         default: None,
     },
     Flag {
--- a/crates/rhubarblanding_node/src/settings/mod.rs
+++ b/crates/rhubarblanding_node/src/settings/mod.rs
@@ -28,7 +28,7 @@
     pub caller: SocketAddr,
     /// Face for the backend server on the same host; a loopback address.
     pub local: SocketAddr,
-    /// Face for other nodes; names the host.
+    /// Face for other nodes; names the host unless another address is advertised.
     pub peer: SocketAddr,
     /// Face for operators.
     pub operator: SocketAddr,
@@ -43,6 +43,8 @@
     pub zone: ZoneName,
     /// Listen addresses.
     pub listen: ListenAddresses,
+    /// Address under which other nodes reach this one, if it is not its listen address.
+    pub peer_advertise: Option<SocketAddr>,
     /// Address of the backend server on this host.
     pub backend: SocketAddr,
     /// Address of the platform's key-value service.
@@ -64,6 +66,6 @@
 impl Settings {
     /// Identifier of this host.
     pub fn host(&self) -> HostId {
-        HostId(self.listen.peer)
+        HostId(self.peer_advertise.unwrap_or(self.listen.peer))
     }
 }
--- a/crates/rhubarblanding_node/src/settings/raw.rs
+++ b/crates/rhubarblanding_node/src/settings/raw.rs
@@ -26,6 +26,8 @@
     pub local_listen: Option<String>,
     /// `--peer-listen`
     pub peer_listen: Option<String>,
+    /// `--peer-advertise`
+    pub peer_advertise: Option<String>,
     /// `--operator-listen`
     pub operator_listen: Option<String>,
     /// `--backend`
@@ -55,6 +57,7 @@
             caller_listen: text("caller-listen"),
             local_listen: text("local-listen"),
             peer_listen: text("peer-listen"),
+            peer_advertise: text("peer-advertise"),
             operator_listen: text("operator-listen"),
             backend: text("backend"),
             store: text("store"),
@@ -201,6 +204,7 @@
         let caller = check.required("caller-listen", raw.caller_listen.as_ref(), address);
         let local = check.required("local-listen", raw.local_listen.as_ref(), loopback_address);
         let peer = check.required("peer-listen", raw.peer_listen.as_ref(), host_address);
+        let advertise = check.optional("peer-advertise", raw.peer_advertise.as_ref(), host_address);
         let operator = check.required("operator-listen", raw.operator_listen.as_ref(), address);
         let backend = check.required("backend", raw.backend.as_ref(), address);
         let store = check.required("store", raw.store.as_ref(), address);
@@ -248,6 +252,7 @@
                 peer,
                 operator,
             },
+            peer_advertise: advertise,
             backend,
             store,
             seeds,
--- a/crates/rhubarblanding_node/tests/settings.rs
+++ b/crates/rhubarblanding_node/tests/settings.rs
@@ -35,6 +35,7 @@
     host_name_for_address: ("--caller-listen=localhost:7001", "caller-listen");
     local_not_loopback: ("--local-listen=10.0.0.1:7002", "local-listen");
     peer_unspecified: ("--peer-listen=0.0.0.0:7003", "peer-listen");
+    advertise_unspecified: ("--peer-advertise=0.0.0.0:7003", "peer-advertise");
     port_zero: ("--operator-listen=127.0.0.1:0", "operator-listen");
     backend_without_port: ("--backend=127.0.0.1", "backend");
     store_garbage: ("--store=x", "store");
--- a/crates/rhubarblanding_request/examples/ledger_cost.rs
+++ b/crates/rhubarblanding_request/examples/allowance_cost.rs
@@ -1,7 +1,7 @@
 //! Measures what one request costs in the allowance ledger: open, one call lent and given back,
 //! close.
 //!
-//! Usage: `cargo run --release -p rhubarblanding_request --example ledger_cost`
+//! Usage: `cargo run --release -p rhubarblanding_request --example allowance_cost`
 
 use std::time::{Duration, Instant};
 
--- a/examples/litoral.rs
+++ b/examples/litoral.rs
@@ -106,6 +106,7 @@
         service: plan.name.try_into()?,
         zone: zone.try_into()?,
         listen,
+        peer_advertise: None,
         backend: free[3],
         store,
         seeds,
