Bound the dispatches at the bottom of a failing chain

Cause: each layer has a budget of retries, and budgets multiply over the layers if each layer sends a failure again that a deeper one passed up.

What failed first: the test without a budget saw no retries at all: the last layer lent its only retry to a service that has no use for it and lost it with the answer. `lend_share` lends nothing to such services, and the fuzzing draws it.

--- a/crates/rhubarblanding_request/src/allowance/ledger.rs
+++ b/crates/rhubarblanding_request/src/allowance/ledger.rs
@@ -199,9 +199,17 @@
 
     /// Lends part of the allowance to one downstream call.
     pub fn lend(&mut self, key: RequestKey) -> Lent {
+        self.lend_share(key, self.settings.share)
+    }
+
+    /// Lends another share than that of the settings to one downstream call.
+    ///
+    /// Use [`LendShare::Nothing`] for a service that makes no calls of its own: what is lent to it
+    /// serves nobody, and is lost with a lost answer.
+    pub fn lend_share(&mut self, key: RequestKey, share: LendShare) -> Lent {
         let amount = match self.entries.get_mut(key) {
             Some(entry) => {
-                let amount = self.settings.share.of(entry.left);
+                let amount = share.of(entry.left);
                 if self.settings.deduct_lent {
                     entry.left -= amount;
                 }
--- a/crates/rhubarblanding_request/src/attempt/decide.rs
+++ b/crates/rhubarblanding_request/src/attempt/decide.rs
@@ -41,6 +41,10 @@
 ///
 /// A non-idempotent request is sent again only if it did not run. Answers that say that a service
 /// of the chain is overloaded are passed on unchanged.
+///
+/// Ask only about failures between this node and the target. A failure further down that the
+/// backend server passed up is its answer: sending it again here as well would multiply the
+/// retries over the layers.
 pub fn next_step(failed: &FailedAttempt) -> NextStep {
     let give_up = NextStep::GiveUp(truthful(failed));
     let Some(reason) = retry_reason(failed) else {
--- a/crates/rhubarblanding_request/src/lib.rs
+++ b/crates/rhubarblanding_request/src/lib.rs
@@ -14,8 +14,8 @@
 /// The names that a user of this crate types daily.
 pub mod prelude {
     pub use crate::allowance::{
-        AllowanceLedger, AllowanceSettings, CallDigest, CallStart, Exhausted, Lent, RequestKey,
-        Token,
+        AllowanceLedger, AllowanceSettings, CallDigest, CallStart, Exhausted, LendShare, Lent,
+        RequestKey, Token,
     };
     pub use crate::attempt::{
         Answered, Attempt, FailedAttempt, Lost, NextStep, Planned, Sent, next_step,
--- a/crates/rhubarblanding_request/tests/retry_bound/world.rs
+++ b/crates/rhubarblanding_request/tests/retry_bound/world.rs
@@ -17,6 +17,8 @@
 const NODES: usize = 8;
 pub const DEPTH_MAX: usize = 7;
 pub const FAN_OUT_MAX: usize = 5;
+/// Call to a service that is taken to make no calls of its own.
+const LEAF_CALL: u8 = 4;
 
 /// Greatest values that runs without a fault came to.
 pub static REACHED: Reached = Reached::new();
@@ -218,7 +220,11 @@
         let (node, key, root) = (self.reqs[req].node, self.reqs[req].key, self.reqs[req].root);
         let mut path = self.reqs[req].path.clone();
         path.push(digest);
-        let lent = self.nodes[node].lend(key);
+        let lent = if digest == LEAF_CALL {
+            self.nodes[node].lend_share(key, LendShare::Nothing)
+        } else {
+            self.nodes[node].lend(key)
+        };
         let host = HostId(([10, 0, 0, digest], 1).into());
         let attempt = Attempt::new(number, host, lent).send(self.now);
         let count = &mut self.roots[root];
