--- a/crates/rhubarblanding_admission/examples/overload.rs
+++ b/crates/rhubarblanding_admission/examples/overload.rs
@@ -7,7 +7,7 @@
 
 use rhubarblanding_admission::limit::LimitPolicy;
 use rhubarblanding_admission::prelude::*;
-use sim::{Outcome, Scenario, Slow, fixed_limit, run};
+use sim::{Outcome, Scenario, Trouble, fixed_limit, run};
 
 const SLOTS: u32 = 64;
 const LOADS: [f64; 6] = [0.5, 0.9, 1.0, 2.0, 4.0, 10.0];
@@ -31,7 +31,7 @@
         sheds_above: None,
         load,
         secs: 15,
-        slow: None,
+        trouble: None,
     }
 }
 
@@ -56,15 +56,16 @@
 }
 
 fn recovery(seed: u64, control: &Option<GateSettings>, announced: u32, load: f64) -> Outcome {
-    let slow = Slow {
+    let trouble = Trouble {
         from: 10,
         to: 20,
-        factor: 5.0,
+        slower: 5.0,
+        more: 1.0,
         downstream: std::time::Duration::ZERO,
     };
     run(Scenario {
         secs: 30,
-        slow: Some(slow),
+        trouble: Some(trouble),
         ..scenario(seed, control, announced, load)
     })
 }
--- a/crates/rhubarblanding_admission/tests/overload/main.rs
+++ b/crates/rhubarblanding_admission/tests/overload/main.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 use rhubarblanding_admission::prelude::*;
-use sim::{Outcome, Scenario, Slow, fixed_limit, run};
+use sim::{Outcome, Scenario, Trouble, fixed_limit, run};
 
 /// Seed of every run in this file.
 const SEED: u64 = 5_001;
@@ -37,7 +37,7 @@
         sheds_above: None,
         load,
         secs: SECS,
-        slow: None,
+        trouble: None,
     }
 }
 
@@ -78,30 +78,40 @@
     no_slots_announced: (0, 4.0);
 }
 
-fn slow_phase(gate: Option<GateSettings>) -> Outcome {
-    let slow = Slow {
+/// Run with trouble from second 4 to second 8.
+fn troubled(gate: Option<GateSettings>, slower: f64, more: f64) -> Outcome {
+    let trouble = Trouble {
         from: 4,
         to: 8,
-        factor: 5.0,
+        slower,
+        more,
         downstream: Duration::ZERO,
     };
     run(Scenario {
-        slow: Some(slow),
+        trouble: Some(trouble),
         entry_nodes: ENTRY_NODES,
         ..scenario(gate, SLOTS, 0.8)
     })
 }
 
-#[test]
-fn goodput_returns_after_a_slow_phase() {
-    let outcome = slow_phase(gate());
+fn goodput_returns(slower: f64, more: f64) {
+    let outcome = troubled(gate(), slower, more);
     assert_that!(outcome.recovery((1, 4), 8), le(RECOVERY));
 }
 
+rhubarblanding_core::cases! {
+    goodput_returns;
+    after_a_slow_phase: (5.0, 1.0);
+    after_a_surge: (1.0, 5.0);
+    after_both_at_once: (5.0, 5.0);
+}
+
 #[test]
 fn without_a_gate_the_overload_outlasts_its_trigger() {
-    let outcome = slow_phase(None);
-    assert_that!(outcome.recovery((1, 4), 8), gt(RECOVERY));
+    for (slower, more) in [(5.0, 1.0), (1.0, 5.0)] {
+        let outcome = troubled(None, slower, more);
+        assert_that!(outcome.recovery((1, 4), 8), gt(RECOVERY));
+    }
 }
 
 #[test]
@@ -143,14 +153,15 @@
 
 #[test]
 fn the_limit_does_not_follow_a_slow_service_further_down() {
-    let slow = Slow {
+    let trouble = Trouble {
         from: 2,
         to: 8,
-        factor: 1.0,
+        slower: 1.0,
+        more: 1.0,
         downstream: Duration::from_millis(400),
     };
     let outcome = run(Scenario {
-        slow: Some(slow),
+        trouble: Some(trouble),
         ..scenario(gate(), SLOTS, 0.7)
     });
     // A trial may be under way when the run ends.
--- a/crates/rhubarblanding_admission/tests/overload/sim/backend.rs
+++ b/crates/rhubarblanding_admission/tests/overload/sim/backend.rs
@@ -32,20 +32,18 @@
     }
 
     fn start(&mut self, id: u64) {
-        let second = self.now.as_micros() / 1_000_000;
-        let slow = self.scenario.slow;
-        let slow = slow.filter(|slow| (slow.from..slow.to).contains(&second));
+        let trouble = self.trouble();
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
         attempt.started = Some(self.now);
-        if let Some(slow) = slow
+        if let Some(trouble) = trouble
             && attempt.kind == WAITING_KIND
         {
-            attempt.downstream = slow.downstream;
+            attempt.downstream = trouble.downstream;
         }
         let downstream = attempt.downstream;
-        let mean = KINDS[attempt.kind].0 * slow.map_or(1.0, |slow| slow.factor);
+        let mean = KINDS[attempt.kind].0 * trouble.map_or(1.0, |trouble| trouble.slower);
         self.busy += 1;
         let service = self.exponential(mean);
         self.schedule(self.now + service + downstream, Event::Done(id));
--- a/crates/rhubarblanding_admission/tests/overload/sim/mod.rs
+++ b/crates/rhubarblanding_admission/tests/overload/sim/mod.rs
@@ -16,7 +16,7 @@
 use rhubarblanding_core::prelude::{HostId, Importance, MonoTime, Priority, RootId, TimerService};
 
 pub use outcome::{Count, Outcome, Tally};
-pub use scenario::{Scenario, Slow, fixed_limit};
+pub use scenario::{Scenario, Trouble, fixed_limit};
 
 /// Attempts of a caller.
 pub const TRIES: u8 = 3;
@@ -130,6 +130,13 @@
         self.events.subscribe(at, event);
     }
 
+    /// The phase of trouble, if it is now.
+    fn trouble(&self) -> Option<Trouble> {
+        let second = self.now.as_micros() / 1_000_000;
+        let trouble = self.scenario.trouble;
+        trouble.filter(|trouble| (trouble.from..trouble.to).contains(&second))
+    }
+
     fn exponential(&mut self, mean: f64) -> Duration {
         let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
         Duration::from_secs_f64(-mean * uniform.ln())
@@ -157,7 +164,8 @@
     }
 
     fn arrive(&mut self) {
-        let rate = self.scenario.load * f64::from(self.scenario.slots) / MEAN_SERVICE;
+        let load = self.scenario.load * self.trouble().map_or(1.0, |trouble| trouble.more);
+        let rate = load * f64::from(self.scenario.slots) / MEAN_SERVICE;
         let gap = self.exponential(1.0 / rate);
         self.schedule(self.now + gap, Event::Arrive);
         let importance = SHARES[self.percent(&SHARES)].0;
--- a/crates/rhubarblanding_admission/tests/overload/sim/scenario.rs
+++ b/crates/rhubarblanding_admission/tests/overload/sim/scenario.rs
@@ -25,19 +25,21 @@
     pub load: f64,
     /// Length of the run in seconds.
     pub secs: u64,
-    /// Phase in which something is slow.
-    pub slow: Option<Slow>,
+    /// Phase of trouble.
+    pub trouble: Option<Trouble>,
 }
 
-/// Phase in which something is slow.
+/// Phase of trouble.
 #[derive(Clone, Copy, Debug)]
-pub struct Slow {
+pub struct Trouble {
     /// Start in seconds.
     pub from: u64,
     /// End in seconds.
     pub to: u64,
     /// Factor on the service time of the backend server.
-    pub factor: f64,
+    pub slower: f64,
+    /// Factor on the offered load.
+    pub more: f64,
     /// Time for which requests of the longer kind wait for a service further down.
     pub downstream: Duration,
 }
