--- a/crates/rhubarblanding_membership/src/lib.rs
+++ b/crates/rhubarblanding_membership/src/lib.rs
@@ -6,6 +6,7 @@
 //! service, a small sample of peers for spreading, and a directory of contacts for every other
 //! service.
 
+pub mod budget;
 pub mod directory;
 pub mod document;
 pub mod io;
--- a/crates/rhubarblanding_membership/src/membership/mod.rs
+++ b/crates/rhubarblanding_membership/src/membership/mod.rs
@@ -15,6 +15,7 @@
 };
 
 use self::probing::PendingProbe;
+use crate::budget::SpreadBudget;
 use crate::directory::Directory;
 use crate::document::DocumentCopy;
 use crate::io::{Event, Input, Output};
@@ -88,6 +89,7 @@
     directory: Directory,
     watchers: Watchers,
     rumours: Rumours,
+    budget: SpreadBudget,
     document: DocumentCopy,
     timers: TimerService<Timer>,
     started: bool,
@@ -129,6 +131,7 @@
             directory: Directory::new(settings.contacts_per_service),
             watchers: Watchers::new(me.zone.clone(), settings.watcher_candidates),
             rumours: Rumours::default(),
+            budget: SpreadBudget::new(settings.spread_rate, settings.spread_burst),
             document: DocumentCopy::default(),
             timers: TimerService::new(),
             started: false,
@@ -261,8 +264,7 @@
             return;
         }
         self.note_document(cx, from, msg.document);
-        self.learn_rumours(cx, msg.rumours);
-        self.answer_the_dead(cx, from, msg.incarnation, &msg.body);
+        self.learn_rumours(cx, from, msg.rumours);
         match msg.body {
             Body::Rumours => {}
             Body::Ping(seq) => self.send(cx, from, Body::Ack(seq)),
--- a/crates/rhubarblanding_membership/src/membership/probing.rs
+++ b/crates/rhubarblanding_membership/src/membership/probing.rs
@@ -119,7 +119,9 @@
     ///
     /// A target that lives learns from the probe that it was declared down.
     pub(super) fn verify(&mut self, cx: &mut Cx<'_>, host: HostId) {
-        if self.view.is_unverified(host) {
+        if !self.settings.mechanisms.verification {
+            self.eject(cx, host);
+        } else if self.view.is_unverified(host) {
             self.probe(cx, host, Purpose::Own);
         }
     }
--- a/crates/rhubarblanding_membership/src/membership/spreading.rs
+++ b/crates/rhubarblanding_membership/src/membership/spreading.rs
@@ -9,6 +9,7 @@
 use crate::io::Event;
 use crate::message::Body;
 use crate::record::{Record, Stamp, Verdict};
+use crate::rumours::is_urgent;
 
 impl Membership {
     /// Greatest number of changes that travel along on a message sent for another reason.
@@ -47,10 +48,11 @@
     }
 
     /// Takes in changes that a message carried, and spreads those that are new.
-    pub(super) fn learn_rumours(&mut self, cx: &mut Cx<'_>, records: Vec<Record>) {
+    pub(super) fn learn_rumours(&mut self, cx: &mut Cx<'_>, from: HostId, records: Vec<Record>) {
         for record in records {
             if record.host() == self.me.host() {
                 self.defend(cx, &record);
+                self.tell_own_record(cx, from, &record);
                 continue;
             }
             let is_news = self.rumours.is_news(&record) && !self.is_superseded(&record);
@@ -86,8 +88,12 @@
         }
     }
 
-    /// Queues `record` for pushing.
+    /// Queues `record` for pushing, as far as the budget allows.
     pub(super) fn spread(&mut self, cx: &mut Cx<'_>, record: Record) {
+        if !is_urgent(&record) && !self.budget.take(cx.now) {
+            self.rumours.note(cx.now, &record);
+            return;
+        }
         self.rumours
             .insert(cx.now, record, self.settings.gossip_rounds);
         self.schedule_gossip(cx);
@@ -117,21 +123,6 @@
         self.timers.subscribe(cx.now + wait, Timer::Gossip);
     }
 
-    /// Tells a sender that is held for dead that it is, so that it takes a new incarnation.
-    pub(super) fn answer_the_dead(
-        &mut self,
-        cx: &mut Cx<'_>,
-        from: HostId,
-        incarnation: Incarnation,
-        body: &Body,
-    ) {
-        let known = self.record(from);
-        let held_dead = known.is_some_and(|r| r.is_final() && r.info.incarnation >= incarnation);
-        if held_dead && !matches!(body, Body::Ping(_)) {
-            self.send(cx, from, Body::Rumours);
-        }
-    }
-
     pub(super) fn on_housekeeping(&mut self, cx: &mut Cx<'_>) {
         let due = cx.now + Self::HOUSEKEEPING_INTERVAL;
         self.timers.subscribe(due, Timer::Housekeeping);
@@ -186,6 +177,13 @@
         self.publish(cx);
     }
 
+    /// Answers a peer that holds an outdated record of this node.
+    fn tell_own_record(&self, cx: &mut Cx<'_>, peer: HostId, held: &Record) {
+        if held.stamp() < self.me.stamp() {
+            self.send_with(cx, peer, Body::Rumours, vec![self.me.clone()]);
+        }
+    }
+
     fn is_superseded(&self, record: &Record) -> bool {
         let known = self.record(record.host());
         known.is_some_and(|known| known.stamp() >= record.stamp())
--- a/crates/rhubarblanding_membership/src/rumours.rs
+++ b/crates/rhubarblanding_membership/src/rumours.rs
@@ -42,6 +42,13 @@
         seen.is_some_and(|seen| seen.stamp > record.stamp())
     }
 
+    /// Remembers `record` as seen without pushing it.
+    pub fn note(&mut self, now: MonoTime, record: &Record) {
+        let stamp = record.stamp();
+        self.hot.remove(&record.host());
+        self.seen.insert(record.host(), Seen { stamp, at: now });
+    }
+
     /// Remembers `record` as seen and pushes it for `rounds` rounds.
     pub fn insert(&mut self, now: MonoTime, record: Record, rounds: u32) {
         let host = record.host();
@@ -112,6 +119,6 @@
 }
 
 /// Whether other nodes send requests in vain until they know of the change.
-fn is_urgent(record: &Record) -> bool {
+pub fn is_urgent(record: &Record) -> bool {
     record.verdict == Verdict::Alive && record.info.state >= TargetState::Draining
 }
--- a/crates/rhubarblanding_membership/src/settings.rs
+++ b/crates/rhubarblanding_membership/src/settings.rs
@@ -23,6 +23,8 @@
 pub struct Mechanisms {
     /// A suspected node refutes the suspicion.
     pub refutation: bool,
+    /// A node ejects only targets that did not answer its own probe.
+    pub verification: bool,
     /// Tombstones reject records of dead incarnations.
     pub tombstones: bool,
     /// The share of a service's targets that may be declared down is capped.
@@ -39,6 +41,7 @@
     fn default() -> Self {
         Self {
             refutation: true,
+            verification: true,
             tombstones: true,
             ejection_cap: true,
             eager_spreading: true,
@@ -71,6 +74,13 @@
     pub gossip_rounds: u32,
     /// Greatest number of changes in one message.
     pub max_rumours: usize,
+    /// Changes a second that a node passes on in the long run; leaving targets are not counted.
+    ///
+    /// What exceeds it is left to the comparison of views, so that the loss of an availability
+    /// zone does not exhaust the control budget.
+    pub spread_rate: f64,
+    /// Changes that a node passes on at once after a quiet time.
+    pub spread_burst: f64,
     /// Time for which a change that was seen is remembered, to not spread it again.
     pub rumour_ttl: Duration,
     /// Time between two exchanges of peer samples.
@@ -122,6 +132,8 @@
             gossip_fanout: 3,
             gossip_rounds: 5,
             max_rumours: 24,
+            spread_rate: 2.0,
+            spread_burst: 40.0,
             rumour_ttl: Duration::from_secs(60),
             shuffle_interval: Duration::from_secs(5),
             shuffle_len: 4,
--- a/crates/rhubarblanding_membership/tests/mechanisms.rs
+++ b/crates/rhubarblanding_membership/tests/mechanisms.rs
@@ -112,12 +112,32 @@
 rhubarblanding_core::cases! {
     oracle_notices;
     ejection_cap: (zone_cut, |m| m.ejection_cap = false, Violation::TooManyEjected { observer: OBSERVER, lost: 0, limit: 0 });
-    refutation: (lossy_network, |m| m.refutation = false, Violation::ReachableDeclaredDown { observer: OBSERVER, host: host() });
+    refutation_and_verification: (lossy_network, |m| { m.refutation = false; m.verification = false; }, Violation::ReachableDeclaredDown { observer: OBSERVER, host: host() });
     tombstones: (stale_peer, |m| m.tombstones = false, Violation::DeadCameBack { observer: OBSERVER, host: host() });
     eager_spreading: (leaving, |m| m.eager_spreading = false, Violation::LeavingUnknown { observer: OBSERVER, host: host() });
     version_check: (late_document, |m| m.version_check = false, Violation::VersionFell { observer: OBSERVER });
 }
 
+/// Suspicions end with the losses that caused them, if the suspects can refute them.
+fn views_agree_after_losses(settings: MembershipSettings, expected: bool) {
+    let (mut fleet, _) = settled(settings);
+    fleet.net.faults.loss = 0.3;
+    fleet.run(Duration::from_secs(60));
+    fleet.net.faults.loss = 0.0;
+    let took = fleet.run_until(Duration::from_secs(60), Fleet::converged);
+    assert_that!(took.is_some(), eq(expected));
+}
+
+mod refutation {
+    use super::*;
+
+    rhubarblanding_core::cases! {
+        views_agree_after_losses;
+        in_force: (MembershipSettings::default(), true);
+        switched_off: (without(|m| m.refutation = false), false);
+    }
+}
+
 /// Nodes that were cut off agree again, unless they never compare their views.
 fn views_agree_after_a_cut(settings: MembershipSettings, expected: bool) {
     let (mut fleet, _) = settled(settings);
