Measure with the slots of today, and against the greatest peak of all systems

So a share is now taken of the greatest peak of all systems in the run. The cause seen in the code is that a trial of a lower limit takes 30 % of the slots, which of 4 leaves 2; the presets now have the slots that today's targets have.

The tool ends its child processes when it is told to end.

--- a/tools/measure/src/command/mod.rs
+++ b/tools/measure/src/command/mod.rs
@@ -4,6 +4,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use error_stack::{Report, ResultExt};
+use rhubarblanding_standins::command::wait_for_end;
 use rhubarblanding_standins::error::StandinError;
 
 use crate::output::{Format, Row, render};
@@ -76,7 +77,7 @@
     let matches = command().get_matches();
     let result = tokio::runtime::Runtime::new()
         .change_context(StandinError::Process)
-        .and_then(|runtime| runtime.block_on(run(&matches)));
+        .and_then(|runtime| runtime.block_on(run_until_told(&matches)));
     match result {
         Ok(text) => {
             println!("{text}");
@@ -89,6 +90,17 @@
     }
 }
 
+/// Runs the case, and ends it with its child processes when the process is told to end.
+async fn run_until_told(matches: &ArgMatches) -> Result<String, Report<StandinError>> {
+    tokio::select! {
+        result = run(matches) => result,
+        ended = wait_for_end() => {
+            ended?;
+            Err(Report::new(StandinError::Process).attach("told to end"))
+        }
+    }
+}
+
 async fn run(matches: &ArgMatches) -> Result<String, Report<StandinError>> {
     match matches.subcommand() {
         Some(("overload", args)) => {
--- a/tools/measure/src/overload/mod.rs
+++ b/tools/measure/src/overload/mod.rs
@@ -26,6 +26,7 @@
 /// What one level gave.
 #[derive(Debug)]
 struct Level {
+    system: System,
     factor: f64,
     figures: WindowFigures,
     work: figures::Work,
@@ -51,13 +52,13 @@
     preset: Preset,
     seed: u64,
 ) -> Result<Vec<LevelRow>, Report<StandinError>> {
-    let mut rows = Vec::new();
+    let mut levels = Vec::new();
     for system in systems {
-        let levels = measure(*system, preset, seed).await?;
-        let peak = levels.iter().map(completions).fold(0.0, f64::max);
-        rows.extend(levels.iter().map(|level| row(*system, level, peak)));
+        levels.extend(measure(*system, preset, seed).await?);
     }
-    Ok(rows)
+    // A system that sheds too much has a low peak of its own, so that all share the greatest.
+    let peak = levels.iter().map(completions).fold(0.0, f64::max);
+    Ok(levels.iter().map(|level| row(level, peak)).collect())
 }
 
 async fn measure(
@@ -99,6 +100,7 @@
     let mut bottom = bottom(&bottom_runs, &prefix, &report);
     bottom.arrived = after.arrived - before.arrived;
     Ok(Level {
+        system: deployment.system,
         factor,
         figures: WindowFigures::new(&report.kinds, &report.outcomes, counted()),
         work: figures::work(&runs, &report.outcomes, &prefix),
@@ -140,12 +142,12 @@
     level.figures.completed() as f64 / level.figures.seconds
 }
 
-fn row(system: System, level: &Level, peak: f64) -> LevelRow {
+fn row(level: &Level, peak: f64) -> LevelRow {
     let figures = &level.figures;
     let attainable = figures.attainable_worth(peak * figures.seconds);
     let bottom = level.bottom;
     LevelRow {
-        system,
+        system: level.system,
         factor: level.factor,
         offered_per_s: figures.offered() as f64 / figures.seconds,
         completed_per_s: completions(level),
--- a/tools/measure/src/overload/row.rs
+++ b/tools/measure/src/overload/row.rs
@@ -58,7 +58,7 @@
     pub offered_per_s: f64,
     /// Requests completed in a second.
     pub completed_per_s: f64,
-    /// Completed requests as a share of the most at any load.
+    /// Completed requests as a share of the most of any system at any load.
     pub share_of_peak_percent: f64,
     /// Worth of the requests completed in a second.
     pub weighted_per_s: f64,
--- a/tools/measure/src/preset/mod.rs
+++ b/tools/measure/src/preset/mod.rs
@@ -1,4 +1,5 @@
-//! Deployments that are measured, at a size that fits one machine.
+//! Deployments that are measured, with fewer targets than in the field so that they fit one
+//! machine.
 
 use std::time::Duration;
 
@@ -114,14 +115,14 @@
         };
         match self {
             Self::Litoral => [
-                tier("catalogo-web", 2, 64, 1),
-                tier("turnos", 4, 24, 3),
-                tier("egresos", 2, 4, 20),
+                tier("catalogo-web", 2, 170, 1),
+                tier("turnos", 4, 170, 3),
+                tier("egresos", 2, 15, 75),
             ],
             Self::Kerala => [
-                tier("submissions", 3, 48, 1),
-                tier("gradebook", 3, 32, 3),
-                tier("browser", 3, 4, 20),
+                tier("submissions", 3, 150, 1),
+                tier("gradebook", 3, 150, 3),
+                tier("browser", 3, 25, 125),
             ],
         }
     }
--- a/tools/standins/src/command/mod.rs
+++ b/tools/standins/src/command/mod.rs
@@ -60,7 +60,11 @@
 }
 
 /// Waits until the process is told to end.
-pub(crate) async fn wait_for_end() -> Result<(), Report<StandinError>> {
+///
+/// # Errors
+///
+/// [`StandinError::Process`] if the signals cannot be listened for.
+pub async fn wait_for_end() -> Result<(), Report<StandinError>> {
     let context = |_| Report::new(StandinError::Process);
     let mut terminate = signal(SignalKind::terminate()).map_err(context)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(context)?;
