--- a/crates/rhubarblanding_admission/src/limit/control.rs
+++ b/crates/rhubarblanding_admission/src/limit/control.rs
@@ -8,9 +8,13 @@
 use super::window::{Sample, Window};
 use super::{LimitPolicy, LimitSettings};
 
-/// Part of the step of a trial up to which the throughput may follow a lower limit, and from
-/// which it has to follow a higher one.
-const TRIAL_PART: f64 = 0.5;
+/// Part of the step down by which the throughput may follow a lower limit.
+const LOWER_LOSES_PART: f64 = 0.4;
+/// Part of the step up by which the throughput has to follow a higher limit.
+const HIGHER_GAINS_PART: f64 = 0.5;
+/// Growth of the pause between trials of a lower limit. Each costs goodput, so they soon become
+/// rare.
+const LOWER_PAUSE_FACTOR: u32 = 4;
 /// Narrowest step of a trial of a higher limit, in percent of the limit.
 const HIGHER_MIN_PERCENT: u32 = 10;
 /// Shortest time until a new limit shows in the latency.
@@ -18,7 +22,7 @@
 /// Longest time until a new limit shows in the latency.
 const SETTLE_MAX: Duration = Duration::from_secs(1);
 /// Limit in percent of the lowest kept one that is set after a descent.
-const MARGIN_PERCENT: u32 = 120;
+const MARGIN_PERCENT: u32 = 130;
 /// Limit in percent that is left after the backend server shed a request.
 const SHED_LEAVES_PERCENT: u32 = 90;
 /// Part of the announced slots below which shedding does not push the limit.
@@ -69,10 +73,10 @@
             window: Window::new(now),
             baselines: Baselines::new(),
             cut_at: now,
-            next_lower: now + settings.trial_pause,
-            next_higher: now + settings.trial_pause,
-            lower_pause: settings.trial_pause,
-            higher_pause: settings.trial_pause,
+            next_lower: now + settings.lower_pause,
+            next_higher: now + settings.higher_pause,
+            lower_pause: settings.lower_pause,
+            higher_pause: settings.higher_pause,
             higher_percent: settings.higher_percent,
             settle: SETTLE_MIN,
             settings,
@@ -155,15 +159,16 @@
         let raised = self.limit * RESTORE_PERCENT / 100 + 1;
         if raised >= up_to {
             self.phase = Phase::Steady;
-            self.next_higher = now + self.settings.trial_pause;
+            self.next_higher = now + self.settings.lower_pause;
         }
         self.set_limit(now, raised.min(up_to.max(self.limit)));
     }
 
     fn abandon_window(&mut self, now: MonoTime) {
         if let Phase::Lower { from, .. } | Phase::Higher { from, .. } = self.phase {
-            self.limit = from;
-            self.phase = Phase::Steady;
+            self.baselines.discard();
+            self.next_lower = self.next_lower.max(now + self.settings.lower_pause);
+            return self.end_trial(now, from);
         }
         self.baselines.follow();
         self.window = Window::new(now);
@@ -224,36 +229,50 @@
     }
 
     fn close_lower(&mut self, now: MonoTime, from: u32, before: f64, descended: bool) {
+        if !self.window.is_saturated() {
+            return self.abandon_window(now);
+        }
         let step = 1.0 - f64::from(self.limit) / f64::from(from.max(1));
-        let wanted = before * (1.0 - step * TRIAL_PART);
-        let kept = self.window.throughput() >= wanted;
-        if kept && self.limit < from {
-            let throughput = self.window.throughput();
+        let throughput = self.window.throughput();
+        if throughput >= before * (1.0 - step * LOWER_LOSES_PART) && self.limit < from {
             self.baselines.discard();
-            self.lower_pause = self.settings.trial_pause;
             return self.try_lower(now, throughput, true);
         }
         // The latency does not come from the concurrency, so it is the usual one from now on.
         self.baselines.adopt();
-        self.lower_pause = (self.lower_pause * 2).min(self.settings.trial_pause_max);
+        self.lower_pause =
+            (self.lower_pause * LOWER_PAUSE_FACTOR).min(self.settings.trial_pause_max);
+        self.next_lower = now + self.lower_pause;
         // The last limit that was kept may have cost as much as was tolerated.
         let margin = if descended { MARGIN_PERCENT } else { 100 };
         self.end_trial(now, (from * margin).div_ceil(100));
     }
 
     fn close_higher(&mut self, now: MonoTime, from: u32, before: f64) {
+        let window = self.window;
         let step = f64::from(self.limit) / f64::from(from.max(1)) - 1.0;
-        let wanted = before * (1.0 + step * TRIAL_PART);
-        let throughput = self.window.throughput();
+        let gained = window.throughput() >= before * (1.0 + step * HIGHER_GAINS_PART);
+        if !gained && !window.is_saturated() {
+            return self.abandon_window(now);
+        }
         self.baselines.discard();
-        if throughput >= wanted && self.limit > from {
-            self.higher_pause = self.settings.trial_pause;
-            return self.try_higher(now, throughput);
+        if gained && self.limit > from {
+            self.higher_pause = self.settings.higher_pause;
+            return self.keep_higher(now, &window);
         }
         self.narrow_higher();
         self.end_trial(now, from);
     }
 
+    /// Goes on upwards, or, if no request waits any more, stays at the limit.
+    fn keep_higher(&mut self, now: MonoTime, window: &Window) {
+        if window.is_saturated() {
+            self.try_higher(now, window.throughput());
+        } else {
+            self.end_trial(now, self.limit);
+        }
+    }
+
     /// Halves the step of the next trial, or starts over with the widest after a longer pause.
     fn narrow_higher(&mut self) {
         self.higher_percent /= 2;
@@ -265,7 +284,6 @@
 
     fn end_trial(&mut self, now: MonoTime, limit: u32) {
         self.phase = Phase::Steady;
-        self.next_lower = now + self.lower_pause;
         let narrowed = self.higher_percent < self.settings.higher_percent;
         let pause = if narrowed {
             Duration::ZERO
--- a/crates/rhubarblanding_once/tests/at_most_once/ledger.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/ledger.rs
@@ -1,12 +1,18 @@
 //! The path of one key through its home and copy.
 
-use crate::common::pair::Pair;
+use std::time::Duration;
+
 use googletest::prelude::*;
 use rhubarblanding_core::cases;
 use rhubarblanding_core::error::{ErrorKind, Refusal};
+use rhubarblanding_core::time::UnixMillis;
+use rhubarblanding_once::message::Kept;
 use rhubarblanding_once::prelude::*;
 use rhubarblanding_once::safeguards::Safeguards;
 
+use crate::common::pair::Pair;
+use crate::common::{START, member};
+
 fn refused(outputs: &[Output]) -> Vec<ErrorKind> {
     let kind = |output: &Output| match output {
         Output::Refuse { refusal, .. } => Some(refusal.kind),
@@ -93,6 +99,33 @@
     expect_that!(refusal.kind, eq(ErrorKind::OutcomeUnknown));
 }
 
+fn repeat_of_an_answer(max_answer_bytes: usize, max_kept_bytes: usize, kept: bool) {
+    let mut pair = Pair::with_settings(LedgerSettings {
+        max_answer_bytes,
+        max_kept_bytes,
+        ..LedgerSettings::default()
+    });
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    let out = pair.end(&out, Outcome::Answered(pair.answer()));
+    assert_that!(out, contains(pat!(Output::Answer { .. })));
+    pair.exchange(out);
+    let expected = if kept {
+        vec![]
+    } else {
+        vec![ErrorKind::AnswerNotKept]
+    };
+    assert_that!(refused(&pair.ask_home(2)), eq(&expected));
+    assert_that!(refused(&pair.ask_copy(3)), eq(&expected));
+}
+
+cases! {
+    repeat_of_an_answer;
+    small_answer_is_repeated: (1_000, 1_000, true);
+    large_answer_is_known_to_have_run: (10, 1_000, false);
+    given_up_answer_is_known_to_have_run: (1_000, 10, false);
+}
+
 /// The copy takes over a key whose try at the home timed out, and the home, which does not hear of
 /// it, tries again.
 fn runs_after_a_late_acknowledgement(run_check: bool, expected: usize) {
@@ -125,3 +158,120 @@
     late_acknowledgement_is_of_another_try: (true, 1);
     missing_run_check_shows: (false, 2);
 }
+
+/// The home forgets a key that ran, and the copy, which did not hear of the outcome, asks for it.
+#[gtest]
+fn evicted_record_is_not_taken_for_a_release() {
+    let mut pair = Pair::with_settings(LedgerSettings {
+        retention: Duration::from_millis(500),
+        ..LedgerSettings::default()
+    });
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    pair.end(&out, Outcome::Answered(pair.answer()));
+    pair.time_out();
+    for caller in 2..4 {
+        let out = pair.ask_copy(caller);
+        expect_that!(refused(&out), eq(&vec![ErrorKind::OutcomeUnknown]));
+        pair.exchange_from(pair.copy, out);
+    }
+}
+
+/// A release that the copy did not get is made up for by its question.
+#[gtest]
+fn lost_release_is_settled_by_a_query() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    pair.end(&out, Outcome::Shed);
+    let out = pair.ask_copy(2);
+    expect_that!(refused(&out), eq(&vec![ErrorKind::OutcomeUnknown]));
+    pair.exchange_from(pair.copy, out);
+    let out = pair.ask_copy(3);
+    let out = pair.exchange_from(pair.copy, out);
+    expect_that!(out, elements_are![pat!(Output::Dispatch { .. })]);
+}
+
+#[gtest]
+fn key_with_another_request_is_refused() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    pair.exchange(out);
+    let out = pair.ask(pair.home, 2, Role::Home, Fingerprint(2));
+    expect_that!(refused(&out), eq(&vec![ErrorKind::KeyConflict]));
+    let out = pair.ask(pair.copy, 3, Role::Substitute, Fingerprint(2));
+    expect_that!(refused(&out), eq(&vec![ErrorKind::KeyConflict]));
+}
+
+#[gtest]
+fn caller_that_went_away_is_not_answered() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    pair.ask_home(2);
+    expect_that!(pair.leave_home(1), is_empty());
+    let out = pair.end(&out, Outcome::Answered(pair.answer()));
+    let answered = out.iter().filter_map(|output| match output {
+        Output::Answer { caller, .. } => Some(*caller),
+        _ => None,
+    });
+    expect_that!(answered.collect::<Vec<_>>(), eq(&vec![CallerId(2)]));
+}
+
+#[gtest]
+fn key_that_nobody_waits_for_is_not_dispatched() {
+    let mut pair = Pair::new();
+    let sent = pair.ask_home(1);
+    expect_that!(pair.leave_home(1), contains(pat!(Output::Send { .. })));
+    expect_that!(pair.exchange(sent), is_empty());
+}
+
+#[gtest]
+fn streamed_answer_reaches_only_the_caller_that_was_dispatched() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    pair.ask_home(2);
+    let out = pair.end(&out, Outcome::Streamed);
+    expect_that!(refused(&out), eq(&vec![ErrorKind::AnswerNotKept]));
+    expect_that!(
+        out,
+        contains(pat!(Output::Refuse {
+            caller: eq(&CallerId(2)),
+            ..
+        }))
+    );
+}
+
+/// A proposal that begins some seconds ahead of the clock of a node that has run a key.
+fn adopts(ahead_secs: u64, expected: Adoption) {
+    let mut pair = Pair::new();
+    pair.ask_home(1);
+    let from = UnixMillis(START.0 + ahead_secs * 1_000);
+    let table = pair.table().unwrap().propose(from, vec![member(9, 1, 9)]);
+    assert_that!(pair.adopt_at_home(table.unwrap()), eq(expected));
+}
+
+cases! {
+    adopts;
+    proposal_near_ahead_is_adopted: (1, Adoption::Adopted);
+    proposal_far_ahead_is_not_adopted: (61, Adoption::TooFar);
+}
+
+#[gtest]
+fn messages_survive_serialization() {
+    let mut pair = Pair::new();
+    let out = pair.ask_home(1);
+    let out = pair.exchange(out);
+    let out = pair.end(&out, Outcome::Answered(pair.answer()));
+    let msg = out.iter().find_map(|output| match output {
+        Output::Send { msg, .. } => Some(msg.clone()),
+        _ => None,
+    });
+    let text = serde_json::to_string(&msg.unwrap()).unwrap();
+    let read: PeerMessage = serde_json::from_str(&text).unwrap();
+    let is_whole = matches!(read, PeerMessage::Recorded {
+        kept: Kept::Answer(answer), ..
+    } if answer == pair.answer());
+    expect_that!(is_whole, eq(true));
+}
--- a/crates/rhubarblanding_once/tests/at_most_once/sim/machine.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/sim/machine.rs
@@ -10,6 +10,9 @@
 
 use super::cluster::Setup;
 
+/// Size for which the answers of most but not all records are kept.
+const KEPT_BYTES_PER_RECORD: usize = 60;
+
 /// What a backend server does with requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Backend {
@@ -111,6 +114,14 @@
     .boxed()
 }
 
+/// Members come and go as planned, and nothing fails.
+pub fn planned_change_ops() -> BoxedStrategy<Op> {
+    let dead = proptest::option::of(0..64usize);
+    let change = dead.prop_map(|dead| Op::CommonView { dead });
+    let time = (200..1_500u64).prop_map(Op::Quiet);
+    prop_oneof![8 => benign_ops(), 1 => change, 3 => time].boxed()
+}
+
 pub fn faulty_ops() -> BoxedStrategy<Op> {
     let i = || 0..64usize;
     let backend = prop_oneof![
@@ -198,6 +209,7 @@
             offsets,
             ledger: LedgerSettings {
                 max_records,
+                max_kept_bytes: max_records * KEPT_BYTES_PER_RECORD,
                 safeguards,
                 ..LedgerSettings::default()
             },
