Let the queue hold one more round of the slots

A pause of the machine filled the 16 slots, made the estimate of the slot time long, and so shrank the queue to its least length of 8. Ruled out: a trial of a lower limit, which is not run at that load. Conclusion: the least length is the limit in force, so a burst of twice the slots is never shed.

--- a/crates/rhubarblanding_admission/src/gate/state.rs
+++ b/crates/rhubarblanding_admission/src/gate/state.rs
@@ -333,9 +333,12 @@
 
     fn queue_len_max(&self, now: MonoTime) -> usize {
         let target = self.settings.queue_wait_target;
+        // A burst that fills the slots once more is no overload.
+        let least = self.settings.queue_len_min.max(self.limit.get() as usize);
+        let most = self.settings.queue_len_max.max(least);
         self.estimates
             .served_within(now, target, self.limit.get())
-            .clamp(self.settings.queue_len_min, self.settings.queue_len_max)
+            .clamp(least, most)
     }
 
     fn refusal(&mut self, kind: ErrorKind) -> Refusal {
