Mend fifteen faults found by reading the request path

Cause, each with its scenario: a backend server that passes on our own refusal of a downstream call was taken to have shed its request, which then ran twice; an idempotent request whose first attempt may have run was called not-run after the second; a keyed run that passed its deadline lost its outcome for good; sixteen stalled downloads used up the window of a whole peer connection; a dead backend server beside a live node drew load and was never ejected; a home table whose members were all replaced was never fetched again; calls to an unreachable host waited for one connect after the other; a backend server that announced starting was lost to its callers for its node's whole life; a stalled upload held a stop up for ever; retries lent to an attempt that was never sent were lost; a heartbeat could announce serving after a drain; a table was fetched past the deadline; callees were remembered over a change of kinds; an entry node with an older document could repeat a request that had become non-idempotent. Ruled out: by the same reading, a second run by the HTTP client's own repeats, lost wake-ups of the loops, and leaks of gate passes. Not mended: more than 20 calls reset before they are accepted close the peer connection. Conclusion: written down by reading only; each is to be shown by a test.

--- a/crates/rhubarblanding_core/src/error.rs
+++ b/crates/rhubarblanding_core/src/error.rs
@@ -123,6 +123,8 @@
     TargetDraining => 503, NotRun, After, "refused.target_draining", "The target is leaving.";
     /// The node is stopping.
     NodeDraining => 503, NotRun, After, "refused.node_draining", "The node is stopping.";
+    /// The sender's document is older and calls a non-idempotent request idempotent.
+    StaleDocument => 503, NotRun, After, "refused.stale_document", "A newer ticket is not in force at every node yet.";
     /// No connection could be opened.
     ConnectFailed => 503, NotRun, After, "refused.connect_failed", "No connection to the target.";
     /// The connection broke after the request may have been sent.
--- a/crates/rhubarblanding_node/src/connection/client.rs
+++ b/crates/rhubarblanding_node/src/connection/client.rs
@@ -1,9 +1,11 @@
 //! Clients of other nodes (HTTP/2) and of the local backend server (HTTP/1.1).
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::uri::Authority;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -12,6 +14,8 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use rhubarblanding_core::prelude::*;
 
+use crate::process::parking::{Mutex, lock};
+
 /// Longest time that opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time without a frame after which a peer with open streams is pinged.
@@ -21,10 +25,15 @@
 /// Flow control window of one stream, in bytes.
 const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
 /// Flow control window of one connection, in bytes.
-const CONNECTION_WINDOW_BYTES: u32 = 4 * 1024 * 1024;
+///
+/// It holds the windows of all streams, so that answers that are read slowly hold up no other.
+const CONNECTION_WINDOW_BYTES: u32 = (1 << 31) - 1;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time after a failed connect during which no other is tried to the same peer.
+const UNREACHABLE_HOLD: Duration = Duration::from_millis(300);
+
 /// Why no answer came, and whether the request may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendError {
@@ -65,6 +74,7 @@
 #[derive(Clone, Debug)]
 pub struct PeerClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    unreachable: Arc<Mutex<HashMap<Authority, Instant>>>,
 }
 
 impl Default for PeerClient {
@@ -74,12 +84,17 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .http2_only(true)
+            // Otherwise the requests that wait for one connect try it again one after the other.
+            .retry_canceled_requests(false)
             .http2_keep_alive_interval(PING_INTERVAL)
             .http2_keep_alive_timeout(PING_TIMEOUT)
             .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
             .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .build(connector());
-        Self { client }
+        Self {
+            client,
+            unreachable: Arc::default(),
+        }
     }
 }
 
@@ -90,7 +105,28 @@
     ///
     /// See [`SendError`].
     pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
-        self.client.request(req).await.map_err(SendError::from)
+        let peer = req.uri().authority().cloned().ok_or(SendError::Connect)?;
+        if self.is_unreachable(&peer) {
+            return Err(SendError::Connect);
+        }
+        let sent = self.client.request(req).await.map_err(SendError::from);
+        if matches!(sent, Err(SendError::Connect)) {
+            lock(&self.unreachable).insert(peer, Instant::now() + UNREACHABLE_HOLD);
+        }
+        sent
+    }
+
+    /// Whether a connect to `peer` failed just now.
+    fn is_unreachable(&self, peer: &Authority) -> bool {
+        let mut unreachable = lock(&self.unreachable);
+        match unreachable.get(peer) {
+            Some(until) if Instant::now() < *until => true,
+            Some(_) => {
+                unreachable.remove(peer);
+                false
+            }
+            None => false,
+        }
     }
 }
 
--- a/crates/rhubarblanding_node/src/connection/listener.rs
+++ b/crates/rhubarblanding_node/src/connection/listener.rs
@@ -27,7 +27,7 @@
 /// Flow control window of one stream, in bytes.
 const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
 /// Flow control window of one connection, in bytes.
-const CONNECTION_WINDOW_BYTES: u32 = 4 * 1024 * 1024;
+const CONNECTION_WINDOW_BYTES: u32 = (1 << 31) - 1;
 /// Time between pings to the client of an HTTP/2 connection.
 const PING_INTERVAL: Duration = Duration::from_secs(5);
 /// Wait after a failed accept, which mostly means that file descriptors ran out.
--- a/crates/rhubarblanding_node/src/process/documents.rs
+++ b/crates/rhubarblanding_node/src/process/documents.rs
@@ -40,6 +40,7 @@
     };
     if node.document.offer(document) {
         node.count(Event::DocumentAdopted);
+        node.registry.forget_calls();
         log::info!("document version {} is in force", version.0);
         node.member_input(Input::Document(SpreadDocument::whole(version, body)));
     }
--- a/crates/rhubarblanding_node/src/process/node.rs
+++ b/crates/rhubarblanding_node/src/process/node.rs
@@ -27,6 +27,10 @@
 /// Time for which a draining node goes on to serve its peers, so that they learn of it.
 const DRAIN_NOTICE: Duration = Duration::from_millis(500);
 
+/// Time without an announcement after which a backend server counts as gone.
+const ANNOUNCEMENT_LIMIT: Duration = Duration::from_secs(10);
+/// Time between two looks at the last announcement.
+const ANNOUNCEMENT_CHECK: Duration = Duration::from_secs(1);
 /// Longest wait of a stop for a home table without this node.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(12);
 /// Time between two looks at the home table during a stop.
@@ -240,6 +244,7 @@
     ));
     loops.spawn(documents::watch_store(Arc::clone(node), watch_rx));
     loops.spawn(homes::send_messages(Arc::clone(node), inboxes.once));
+    loops.spawn(check_announcements(Arc::clone(node)));
     loops.spawn(Arc::clone(&node.gate).run());
     loops.spawn(Arc::clone(&node.once).run());
     if let Some(keeper) = HomeKeeper::new(Arc::clone(node)) {
@@ -251,6 +256,13 @@
     loops
 }
 
+async fn check_announcements(node: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(ANNOUNCEMENT_CHECK).await;
+        node.check_announcement(ANNOUNCEMENT_LIMIT);
+    }
+}
+
 async fn report(node: Arc<Shared>, mut reporter: Reporter) {
     loop {
         tokio::time::sleep(REPORT_INTERVAL).await;
--- a/crates/rhubarblanding_node/src/process/shared.rs
+++ b/crates/rhubarblanding_node/src/process/shared.rs
@@ -77,6 +77,7 @@
     member: Mutex<MemberState>,
     member_tx: mpsc::UnboundedSender<Output>,
     backend_state: Mutex<TargetState>,
+    announced_at: Mutex<MonoTime>,
     fetching: AtomicBool,
 }
 
@@ -139,6 +140,7 @@
             }),
             member_tx,
             backend_state: Mutex::new(TargetState::Starting),
+            announced_at: Mutex::default(),
             fetching: AtomicBool::new(false),
             settings,
         };
@@ -175,6 +177,24 @@
         self.member_input(Input::Lookup(service.clone()));
     }
 
+    /// Takes notice of an announcement of the backend server.
+    pub fn announced(&self, state: TargetState, slots: u32) {
+        *lock(&self.announced_at) = self.clock.now();
+        self.backend_state(state, Some(slots));
+    }
+
+    /// Takes the own target out of service while its backend server has been silent for `limit`.
+    pub fn check_announcement(&self, limit: std::time::Duration) {
+        let silent = self.clock.now().since(*lock(&self.announced_at));
+        if silent > limit && self.target_state() == TargetState::Serving {
+            log::warn!(
+                "backend server has not announced itself for {} s",
+                silent.as_secs()
+            );
+            self.backend_state(TargetState::Starting, None);
+        }
+    }
+
     /// Takes over what the backend server says of itself.
     pub fn backend_state(&self, state: TargetState, slots: Option<u32>) {
         let mut current = lock(&self.backend_state);
@@ -188,7 +208,7 @@
             log::info!("backend server is {state}");
         }
         *current = state;
-        drop(current);
+        // The lock is held to the end, so that states are announced in their order.
         if let Some(slots) = slots {
             self.gate.set_slots(slots);
         }
@@ -204,15 +224,15 @@
         *lock(&self.backend_state)
     }
 
-    /// Whether the own target takes new requests.
-    pub fn takes_work(&self) -> bool {
-        self.phase.is_serving() && self.target_state() == TargetState::Serving
+    /// Whether the own target takes no new requests any more.
+    pub fn is_leaving(&self) -> bool {
+        self.phase.get() >= TargetState::Draining || self.target_state() >= TargetState::Draining
     }
 
     /// Load of the own target for answers.
     pub fn load_report(&self) -> LoadReport {
         LoadReport {
-            draining: !self.takes_work(),
+            draining: self.is_leaving(),
             ..self.gate.report()
         }
     }
--- a/crates/rhubarblanding_node/src/request/backend.rs
+++ b/crates/rhubarblanding_node/src/request/backend.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// Waits for admission and sends the request once.
+/// Waits for admission and sends the request once; its answer has to begin by `wait_until`.
 ///
 /// # Errors
 ///
@@ -94,6 +94,7 @@
     node: &Arc<Shared>,
     req: &BackendRequest,
     running: RequestRef,
+    wait_until: MonoTime,
 ) -> Result<BackendAnswer, BackendError> {
     let now = node.clock.now();
     node.registry
@@ -115,8 +116,8 @@
         )));
     };
     node.counters.event(Event::BackendDispatch);
-    let deadline = node.clock.instant(req.cx.deadline);
-    let sent = tokio::time::timeout_at(deadline, node.backend.send(out)).await;
+    let wait_until = node.clock.instant(wait_until);
+    let sent = tokio::time::timeout_at(wait_until, node.backend.send(out)).await;
     let resp = match sent {
         Ok(Ok(resp)) => resp,
         Ok(Err(error)) => {
@@ -157,7 +158,11 @@
 fn shed(resp: &Response<Incoming>) -> Option<Refusal> {
     let state: Option<RunState> = headers::parse(resp.headers(), &headers::RUN_STATE);
     let refused = resp.status() == StatusCode::SERVICE_UNAVAILABLE;
-    (refused && state == Some(RunState::NotRun)).then(|| Refusal::new(ErrorKind::BackendShed))
+    // A refusal of a downstream call that the backend server passes on names an error kind. It
+    // says nothing of the request itself, which ran.
+    let passed_on = resp.headers().contains_key(headers::ERROR);
+    let shed = refused && !passed_on && state == Some(RunState::NotRun);
+    shed.then(|| Refusal::new(ErrorKind::BackendShed))
 }
 
 fn outgoing(
--- a/crates/rhubarblanding_node/src/request/dispatch.rs
+++ b/crates/rhubarblanding_node/src/request/dispatch.rs
@@ -73,8 +73,10 @@
 
     async fn run_unkeyed(&self) -> Result<Response<Body>, Refusal> {
         let mut tried = Vec::new();
+        let mut may_have_run = false;
         for number in 1..=ATTEMPTS_MAX {
-            let id = self.pick(&mut tried).await?;
+            let picked = self.pick(&mut tried).await;
+            let id = picked.map_err(|refusal| truthful(may_have_run, refusal))?;
             tried.push(id.host);
             let failed = match self.attempt(number, id, Role::Home).await {
                 Ok(PeerAnswer::Answer(resp)) => return Ok(resp),
@@ -82,12 +84,15 @@
                 Err(AttemptError::Send(error)) => Refusal::new(error.kind()),
                 Err(AttemptError::Deadline) => Refusal::new(ErrorKind::DeadlineExceeded),
             };
+            may_have_run |= failed.kind.answer().run_state != RunState::NotRun;
             match self.next_step(failed) {
-                NextStep::GiveUp(refusal) => return Err(refusal),
-                NextStep::Retry(reason) => self.spend(reason).map_err(|Exhausted| failed)?,
+                NextStep::GiveUp(refusal) => return Err(truthful(may_have_run, refusal)),
+                NextStep::Retry(reason) => self
+                    .spend(reason)
+                    .map_err(|Exhausted| truthful(may_have_run, failed))?,
             }
         }
-        Err(Refusal::new(ErrorKind::NoTarget))
+        Err(truthful(may_have_run, Refusal::new(ErrorKind::NoTarget)))
     }
 
     /// Takes one retry from the allowance and the service's budget, and counts it.
@@ -186,6 +191,9 @@
                     SendError::Connect => TargetOutcome::ConnectFailed,
                     SendError::Lost => TargetOutcome::ConnectionLost,
                 });
+                if error == SendError::Connect {
+                    node.registry.settle_not_sent(self.payer, attempt);
+                }
                 return Err(AttemptError::Send(error));
             }
             Err(_) => return Err(AttemptError::Deadline),
@@ -206,7 +214,7 @@
         }
         let table = headers::parse(map, &headers::TABLE).map(TableVersion);
         let known = self.service.table().map(|table| table.version());
-        if self.call.key.is_some() && table > known {
+        if table > known {
             control::refresh_table(self.node, &self.service);
         }
     }
@@ -219,9 +227,27 @@
     }
 }
 
+/// The refusal that tells what is known after all attempts, not only after the last one.
+fn truthful(may_have_run: bool, refusal: Refusal) -> Refusal {
+    let not_run = refusal.kind.answer().run_state == RunState::NotRun;
+    match may_have_run && not_run {
+        true => Refusal {
+            kind: ErrorKind::ConnectionLost,
+            ..refusal
+        },
+        false => refusal,
+    }
+}
+
 fn read_answer(resp: Response<Incoming>, mut watch: TargetWatch) -> PeerAnswer {
     if let Some(refusal) = answer::read_refusal(resp.headers()) {
-        watch.end(TargetOutcome::Refused);
+        watch.end(match refusal.kind {
+            // The target's node is there, but its backend server is not.
+            ErrorKind::ConnectFailed | ErrorKind::ConnectionLost | ErrorKind::Internal => {
+                TargetOutcome::Failed
+            }
+            _ => TargetOutcome::Refused,
+        });
         return PeerAnswer::Refused(refusal);
     }
     let (mut parts, inner) = resp.into_parts();
--- a/crates/rhubarblanding_node/src/request/entry.rs
+++ b/crates/rhubarblanding_node/src/request/entry.rs
@@ -121,7 +121,7 @@
         method: req.method,
         path,
         headers: outgoing_headers(req.headers),
-        body: read_body(req.body, kind).await?,
+        body: read_body(node, req.body, kind, &cx).await?,
         key,
     };
     let guard = OpenRequest::open(node, cx, kind_id, retry_allowance(kind));
@@ -242,17 +242,26 @@
 ///
 /// # Errors
 ///
-/// A rejection if it is too large or broken off.
-pub async fn read_body(body: Body, kind: &KindSpec) -> Result<bytes::Bytes, Rejected> {
+/// A rejection if it is too large, broken off, or not whole by the deadline.
+pub async fn read_body(
+    node: &Shared,
+    body: Body,
+    kind: &KindSpec,
+    cx: &RequestContext,
+) -> Result<bytes::Bytes, Rejected> {
     let limit = body_limit(kind);
-    body::read_whole(body, limit).await.map_err(|e| match e {
+    let deadline = node.clock.instant(cx.deadline);
+    let read = tokio::time::timeout_at(deadline, body::read_whole(body, limit)).await;
+    let read = read.unwrap_or(Err(body::ReadError::Cut));
+    read.map_err(|e| match e {
         body::ReadError::TooLarge => Rejected::new(
             ErrorKind::BodyTooLarge,
             format!("body: must have at most {limit} bytes"),
         ),
-        body::ReadError::Cut => {
-            Rejected::new(ErrorKind::InvalidRequest, "body: ended before its length")
-        }
+        body::ReadError::Cut => Rejected::new(
+            ErrorKind::InvalidRequest,
+            "body: ended, or its deadline passed, before its length",
+        ),
     })
 }
 
--- a/crates/rhubarblanding_node/src/request/keyed.rs
+++ b/crates/rhubarblanding_node/src/request/keyed.rs
@@ -39,7 +39,10 @@
             Ok(resp) => return Ok(resp),
             Err(failed) => refusal = failed,
         }
-        let moved = refusal.kind == ErrorKind::HomeMoved;
+        let moved = matches!(
+            refusal.kind,
+            ErrorKind::HomeMoved | ErrorKind::HomeUnavailable
+        );
         if !moved || !call.refresh_table(version).await {
             break;
         }
@@ -47,6 +50,9 @@
             break;
         }
     }
+    if refusal.kind == ErrorKind::OutcomeUnknown {
+        control::refresh_table(dispatch.node, &dispatch.service);
+    }
     Err(asked(refusal))
 }
 
@@ -71,15 +77,24 @@
         let service = &self.dispatch.service;
         // The table comes from a target, so that one has to be known first.
         if service.table().is_none() && self.dispatch.pick(&mut Vec::new()).await.is_ok() {
-            control::fetch_table(self.dispatch.node, service).await;
+            self.fetch_table().await;
         }
         service.table().map(|table| table.version())
     }
 
+    /// Fetches the table, no longer than until the deadline.
+    async fn fetch_table(&self) {
+        let Dispatch { node, service, .. } = self.dispatch;
+        let deadline = node.clock.instant(self.dispatch.cx.deadline);
+        let fetch = control::fetch_table(node, service);
+        // Without a newer table the call goes on with the one that is known.
+        let _ = tokio::time::timeout_at(deadline, fetch).await;
+    }
+
     /// Fetches the table and tells whether it is newer than `known`.
     async fn refresh_table(&self, known: Option<TableVersion>) -> bool {
+        self.fetch_table().await;
         let service = &self.dispatch.service;
-        control::fetch_table(self.dispatch.node, service).await;
         service.table().map(|table| table.version()) > known
     }
 
@@ -114,8 +129,9 @@
         };
         match self.dispatch.attempt(self.number, id, role).await {
             Ok(PeerAnswer::Answer(resp)) => Ok(resp),
-            // A leaving home has not begun to run the key, so that its copy may take it.
-            Ok(PeerAnswer::Refused(refusal)) if is_leaving(refusal.kind) => {
+            // A home that is leaving, or whose backend server is gone, does not run the key, so
+            // that its copy may.
+            Ok(PeerAnswer::Refused(refusal)) if cannot_run(refusal.kind) => {
                 Err(AskFailure::NotSent)
             }
             Ok(PeerAnswer::Refused(refusal)) => Err(AskFailure::Refused(refusal)),
@@ -127,8 +143,14 @@
     }
 }
 
-fn is_leaving(kind: ErrorKind) -> bool {
-    matches!(kind, ErrorKind::TargetDraining | ErrorKind::NodeDraining)
+fn cannot_run(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::TargetDraining
+            | ErrorKind::NodeDraining
+            | ErrorKind::NoTarget
+            | ErrorKind::ConnectFailed
+    )
 }
 
 fn reason(failure: AskFailure) -> RetryReason {
--- a/crates/rhubarblanding_node/src/request/local.rs
+++ b/crates/rhubarblanding_node/src/request/local.rs
@@ -88,7 +88,7 @@
         return Err(reject(format!("address: this node serves {expected}")));
     }
     let state = announcement.state.unwrap_or(TargetState::Serving);
-    node.backend_state(state, Some(announcement.slots));
+    node.announced(state, announcement.slots);
     Ok(answer::json(StatusCode::OK, &()))
 }
 
@@ -124,7 +124,7 @@
         method: req.method,
         path,
         headers: outgoing_headers(req.headers),
-        body: read_body(req.body, kind).await?,
+        body: read_body(node, req.body, kind, &cx).await?,
         key,
     };
     let state = node.services.get(now, &call.service);
--- a/crates/rhubarblanding_node/src/request/registry.rs
+++ b/crates/rhubarblanding_node/src/request/registry.rs
@@ -147,6 +147,11 @@
         attempt.settle(&mut self.shard(req).ledger);
     }
 
+    /// Settles an attempt that was to be sent, but of which nothing left this node.
+    pub fn settle_not_sent(&self, req: RequestRef, attempt: Attempt<Sent>) {
+        attempt.not_sent(&mut self.shard(req).ledger);
+    }
+
     /// Settles an attempt of which nothing was sent.
     pub fn abandon(&self, req: RequestRef, attempt: Attempt<Planned>) {
         attempt.abandon(&mut self.shard(req).ledger);
@@ -217,6 +222,11 @@
             .unwrap_or(AdmissionLevel::OPEN)
     }
 
+    /// Forgets what the kinds call, because the kinds have changed.
+    pub fn forget_calls(&self) {
+        lock(&self.callees).clear();
+    }
+
     /// Decides whether a request of `kind` may run, given the services that it will call.
     ///
     /// # Errors
--- a/crates/rhubarblanding_node/src/request/serve.rs
+++ b/crates/rhubarblanding_node/src/request/serve.rs
@@ -1,6 +1,7 @@
 //! The face for other nodes: a call reaches the node of its target.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
@@ -22,6 +23,10 @@
 /// Greatest size in bytes of a request body whose kind is not known here.
 const UNKNOWN_BODY_MAX_BYTES: usize = 16 << 20;
 
+/// Time after its deadline for which the outcome of a keyed request is waited for, so that it can
+/// be recorded although its caller has its final answer.
+const OUTCOME_GRACE: Duration = Duration::from_secs(30);
+
 /// Answers a call of another node.
 pub async fn serve_peer(node: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     node.counters.event(Event::PeerCall);
@@ -49,6 +54,8 @@
 struct Served {
     hop: Hop,
     key: Option<IdempotencyKey>,
+    /// What the document in force here says, if it knows the kind.
+    idempotency: Option<Idempotency>,
     backend: BackendRequest,
 }
 
@@ -59,10 +66,14 @@
     level: &mut AdmissionLevel,
 ) -> Result<Response<Body>, Rejected> {
     let served = read(node, req).await?;
-    if !node.takes_work() {
-        return Err(Refusal::new(ErrorKind::TargetDraining).into());
-    }
     node.note_document(served.hop.from, served.hop.document);
+    if let Some(kind) = unwilling(node, &served) {
+        node.counters.refusal(kind);
+        let mut resp = answer::refusal(Refusal::new(kind), None);
+        let left = headers::value(served.hop.allowance);
+        resp.headers_mut().insert(headers::ALLOWANCE_LEFT, left);
+        return Ok(resp);
+    }
     let cx = served.hop.cx;
     let running = node
         .registry
@@ -88,6 +99,20 @@
     Ok(resp)
 }
 
+/// Why this node does not take the call, if it does not.
+fn unwilling(node: &Shared, served: &Served) -> Option<ErrorKind> {
+    if node.is_leaving() {
+        return Some(ErrorKind::TargetDraining);
+    }
+    if node.target_state() == TargetState::Starting {
+        return Some(ErrorKind::NoTarget);
+    }
+    let stale = served.hop.document < node.document.version();
+    let sent_as = served.hop.cx.idempotency;
+    let relaxed = sent_as == Idempotency::Idempotent && served.idempotency != Some(sent_as);
+    (stale && relaxed && served.idempotency.is_some()).then_some(ErrorKind::StaleDocument)
+}
+
 async fn read(node: &Arc<Shared>, req: Request<Incoming>) -> Result<Served, Rejected> {
     let reject = |detail: &str| Rejected::new(ErrorKind::InvalidRequest, detail);
     let now = node.clock.now();
@@ -106,7 +131,7 @@
         .cloned()
         .ok_or_else(|| reject("path: must be given"))?;
     let key = read_key(&parts.headers, hop.cx.idempotency)?;
-    let (kind, limit) = classify(node, parts.method.as_str(), path.path());
+    let (kind, limit, idempotency) = classify(node, parts.method.as_str(), path.path());
     let body = body::read_whole(inner, limit)
         .await
         .map_err(|_| reject("body: is too large or ended before its length"))?;
@@ -116,6 +141,7 @@
     Ok(Served {
         hop,
         key,
+        idempotency,
         backend: BackendRequest {
             method: parts.method,
             path,
@@ -127,16 +153,21 @@
     })
 }
 
-/// Number of the request's kind and the greatest size of its body in bytes.
-fn classify(node: &Shared, method: &str, path: &str) -> (KindId, usize) {
+/// Number of the request's kind, the greatest size of its body in bytes, and whether it may run
+/// twice, by the document in force here.
+fn classify(node: &Shared, method: &str, path: &str) -> (KindId, usize, Option<Idempotency>) {
     let document = node.document.get();
     match document.service(&node.settings.service) {
         Some(spec) => {
             let kind = spec.classify(method, path);
-            (kind_id(spec, kind), body_limit(kind))
+            (
+                kind_id(spec, kind),
+                body_limit(kind),
+                Some(kind.idempotency),
+            )
         }
         // The sender's document is newer; its entry node has checked the size.
-        None => (KindId(KindId::MAX), UNKNOWN_BODY_MAX_BYTES),
+        None => (KindId(KindId::MAX), UNKNOWN_BODY_MAX_BYTES, None),
     }
 }
 
@@ -157,7 +188,7 @@
     req: &BackendRequest,
     running: RequestRef,
 ) -> Result<Response<Body>, Refusal> {
-    let answer = backend::send(node, req, running)
+    let answer = backend::send(node, req, running, req.cx.deadline)
         .await
         .map_err(BackendError::refusal)?;
     Ok(stream(answer))
@@ -253,7 +284,9 @@
     /// Sends the request and reports its outcome; an answer too large to be kept is returned.
     async fn run(&mut self, run: RunId) -> Option<Response<Body>> {
         self.sent = true;
-        let answer = match backend::send(&self.node, &self.req, self.running).await {
+        let wait_until = self.req.cx.deadline + OUTCOME_GRACE;
+        let sent = backend::send(&self.node, &self.req, self.running, wait_until);
+        let answer = match sent.await {
             Ok(answer) => answer,
             Err(BackendError::NotRun(refusal)) => {
                 self.refused = Some(refusal);
@@ -266,7 +299,9 @@
             }
         };
         let limit = self.node.once.max_answer_bytes();
-        match recorded::read(answer, limit).await {
+        let until = self.node.clock.instant(wait_until);
+        let read = tokio::time::timeout_at(until, recorded::read(answer, limit));
+        match read.await.unwrap_or(recorded::Read::Cut) {
             recorded::Read::Whole(answer) => {
                 self.report(run, Outcome::Answered(answer));
                 None
--- a/crates/rhubarblanding_request/src/attempt/decide.rs
+++ b/crates/rhubarblanding_request/src/attempt/decide.rs
@@ -78,9 +78,10 @@
     match kind {
         ErrorKind::ConnectFailed | ErrorKind::ConnectionLost => Some(RetryReason::ConnectFailed),
         ErrorKind::HomeMoved => Some(RetryReason::HomeMoved),
-        ErrorKind::TargetDraining | ErrorKind::NodeDraining | ErrorKind::BackendShed => {
-            Some(RetryReason::RefusedNotRun)
-        }
+        ErrorKind::TargetDraining
+        | ErrorKind::NodeDraining
+        | ErrorKind::NoTarget
+        | ErrorKind::BackendShed => Some(RetryReason::RefusedNotRun),
         _ => None,
     }
 }
--- a/crates/rhubarblanding_request/src/attempt/life_cycle.rs
+++ b/crates/rhubarblanding_request/src/attempt/life_cycle.rs
@@ -94,6 +94,12 @@
         self.into_state(Answered { latency, returned })
     }
 
+    /// Records that nothing of the attempt left this node; everything lent goes back.
+    pub fn not_sent(self, ledger: &mut AllowanceLedger) {
+        let amount = self.lent.amount();
+        ledger.give_back(self.lent, amount);
+    }
+
     /// Records that no answer will come.
     pub fn lost(self, now: MonoTime) -> Attempt<Lost> {
         let after = now.since(self.state.at);
--- a/crates/rhubarblanding_routing/src/target/state.rs
+++ b/crates/rhubarblanding_routing/src/target/state.rs
@@ -43,8 +43,8 @@
         &self.info.zone
     }
 
-    /// Takes over a newer description. A life never goes back to an earlier state, and a newer
-    /// life starts afresh.
+    /// Takes over a newer description. A life that is leaving stays so, and a newer life starts
+    /// afresh.
     pub(crate) fn update(&mut self, now: MonoTime, info: TargetInfo) {
         if info.incarnation < self.info.incarnation {
             return;
@@ -53,7 +53,10 @@
             *self = Self::new(now, info);
             return;
         }
-        let state = self.info.state.max(info.state);
+        let state = match self.info.state >= TargetState::Draining {
+            true => self.info.state.max(info.state),
+            false => info.state,
+        };
         if state != self.info.state {
             self.warming_since = now;
         }
