--- a/crates/rhubarblanding_membership/src/membership/spreading.rs
+++ b/crates/rhubarblanding_membership/src/membership/spreading.rs
@@ -130,6 +130,9 @@
         for event in self.view.expire(cx.now, self.settings.tombstone_ttl) {
             cx.event(event);
         }
+        for host in self.view.take_ejectable() {
+            self.verify(cx, host);
+        }
         self.contact_seeds(cx);
         self.update_watching(cx);
     }
--- a/crates/rhubarblanding_membership/src/view/ejection.rs
+++ b/crates/rhubarblanding_membership/src/view/ejection.rs
@@ -74,17 +74,25 @@
         (presence == Presence::Gone).then(|| down_event(&record))
     }
 
-    /// Ejects kept targets as far as the cap allows.
-    pub(super) fn eject_kept(&mut self) -> Vec<Event> {
+    /// Kept targets that the cap now lets go; they are to be verified again before that.
+    pub fn take_ejectable(&mut self) -> Vec<HostId> {
         let kept = self
             .targets
-            .values()
-            .filter(|e| e.presence == Presence::Kept);
-        let hosts: Vec<_> = kept.map(|entry| entry.record.host()).collect();
+            .iter()
+            .filter(|(_, e)| e.presence == Presence::Kept);
+        let keys: Vec<_> = kept.map(|(key, _)| key).collect();
+        let mut hosts = Vec::new();
+        for key in keys {
+            let service = self.targets.get(key).map(|e| e.record.info.service.clone());
+            if !service.is_some_and(|service| self.may_eject(&service)) {
+                continue;
+            }
+            if let Some(entry) = self.targets.get_mut(key) {
+                entry.presence = Presence::Unverified;
+                hosts.push(entry.record.host());
+            }
+        }
         hosts
-            .into_iter()
-            .filter_map(|host| self.eject(host))
-            .collect()
     }
 }
 
--- a/crates/rhubarblanding_membership/src/view/mod.rs
+++ b/crates/rhubarblanding_membership/src/view/mod.rs
@@ -162,13 +162,10 @@
         entries.map(|entry| entry.record.clone()).collect()
     }
 
-    /// Forgets tombstones older than `ttl`, services not asked for lately, and ejects kept targets
-    /// as far as the cap allows.
+    /// Forgets tombstones older than `ttl` and services not asked for lately.
     pub fn expire(&mut self, now: MonoTime, ttl: Duration) -> Vec<Event> {
         self.expire_tombstones(now, ttl);
-        let mut events = self.expire_services(now);
-        events.extend(self.eject_kept());
-        events
+        self.expire_services(now)
     }
 
     /// Memory taken, in bytes.
