Make new nodes known to several peers at once

The check on pushing now runs with probes every 5 s: at one a second, changes carried on probes alone sometimes were in time, so it did not notice that pushing was switched off.

--- a/crates/rhubarblanding_membership/src/membership/exchange.rs
+++ b/crates/rhubarblanding_membership/src/membership/exchange.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng;
 use rand::seq::{IndexedRandom, IteratorRandom};
-use rhubarblanding_core::prelude::{HostId, ServiceName};
+use rhubarblanding_core::prelude::{HostId, MonoTime, ServiceName};
 
 use super::{Cx, Membership, Timer};
 use crate::message::{Body, Exchange, ServiceRecords};
@@ -15,6 +15,8 @@
     const JOIN_FANOUT: usize = 2;
     /// Time for which views may differ after a comparison found a difference.
     const SETTLING_AFTER_DIFFERENCE: Duration = Duration::from_secs(5);
+    /// Peers that a node exchanges samples with as soon as it has joined.
+    const INTRODUCTIONS: usize = 8;
     /// Directory entries in one exchange.
     const SHUFFLE_CONTACTS: usize = 3;
 
@@ -38,8 +40,11 @@
     }
 
     pub(super) fn on_shuffle_timer(&mut self, cx: &mut Cx<'_>) {
-        let due = cx.now + self.settings.shuffle_interval;
-        self.timers.subscribe(due, Timer::Shuffle);
+        let interval = match self.is_new(cx.now) {
+            true => self.settings.fast_shuffle_interval,
+            false => self.settings.shuffle_interval,
+        };
+        self.timers.subscribe(cx.now + interval, Timer::Shuffle);
         let own_zone = cx.rng.random_bool(0.5);
         let peer = match own_zone {
             true => self.sample.choose_own_zone(cx.rng),
@@ -50,6 +55,26 @@
         }
     }
 
+    /// Makes a node that has just joined known to several peers, so that pushes reach it.
+    fn introduce(&mut self, cx: &mut Cx<'_>) {
+        let me = self.me.host();
+        for peer in self.sample.choose(cx.rng, Self::INTRODUCTIONS, me) {
+            self.shuffle_with(cx, peer);
+        }
+    }
+
+    pub(super) fn on_shuffle_reply(&mut self, cx: &mut Cx<'_>, exchange: Exchange) {
+        let was_isolated = self.sample.is_isolated();
+        self.merge_exchange(cx, exchange);
+        if was_isolated {
+            self.introduce(cx);
+        }
+    }
+
+    fn is_new(&self, now: MonoTime) -> bool {
+        now.since(self.started_at) < self.settings.settling_time
+    }
+
     pub(super) fn shuffle_with_seed(&mut self, cx: &mut Cx<'_>) {
         let me = self.me.host();
         let seed = self.seeds.iter().filter(|host| **host != me).choose(cx.rng);
--- a/crates/rhubarblanding_membership/src/membership/mod.rs
+++ b/crates/rhubarblanding_membership/src/membership/mod.rs
@@ -93,6 +93,7 @@
     document: DocumentCopy,
     timers: TimerService<Timer>,
     started: bool,
+    started_at: MonoTime,
     last_tick: MonoTime,
     gossip_pending: bool,
     version_rounds: u32,
@@ -135,6 +136,7 @@
             document: DocumentCopy::default(),
             timers: TimerService::new(),
             started: false,
+            started_at: MonoTime::ZERO,
             last_tick: MonoTime::ZERO,
             gossip_pending: false,
             version_rounds: 0,
@@ -241,13 +243,14 @@
 
     fn start(&mut self, cx: &mut Cx<'_>) {
         self.started = true;
+        self.started_at = cx.now;
         self.last_tick = cx.now;
         self.settled_at = cx.now + self.settings.settling_time;
         let me = self.me.clone();
         self.absorb_own(cx, &me);
         for (timer, period) in [
             (Timer::Probe, self.settings.probe_interval),
-            (Timer::Shuffle, self.settings.shuffle_interval),
+            (Timer::Shuffle, self.settings.fast_shuffle_interval),
             (Timer::Sync, self.settings.fast_sync_interval),
             (Timer::Housekeeping, Self::HOUSEKEEPING_INTERVAL),
         ] {
@@ -272,7 +275,7 @@
             Body::PingRequest { seq, target } => self.on_ping_request(cx, from, seq, target),
             Body::Join(record) => self.on_join(cx, from, &record),
             Body::Shuffle(exchange) => self.on_shuffle(cx, from, exchange),
-            Body::ShuffleReply(exchange) => self.merge_exchange(cx, exchange),
+            Body::ShuffleReply(exchange) => self.on_shuffle_reply(cx, exchange),
             Body::Digest { service, hash } => self.on_digest(cx, from, service, hash),
             Body::Records(records) => self.on_records(cx, from, records),
             Body::Lookup(service) => self.on_lookup(cx, from, service),
--- a/crates/rhubarblanding_membership/src/settings.rs
+++ b/crates/rhubarblanding_membership/src/settings.rs
@@ -85,6 +85,8 @@
     pub rumour_ttl: Duration,
     /// Time between two exchanges of peer samples.
     pub shuffle_interval: Duration,
+    /// Time between two exchanges of a node that started within the settling time.
+    pub fast_shuffle_interval: Duration,
     /// Number of peer records in one exchange.
     pub shuffle_len: usize,
     /// Peers kept in the sample from the node's own availability zone.
@@ -97,7 +99,7 @@
     pub sync_interval: Duration,
     /// Time between two comparisons while views may differ: after the start and after a difference.
     pub fast_sync_interval: Duration,
-    /// Time for which views may differ after the start.
+    /// Time after the start in which a node is new and views may differ.
     pub settling_time: Duration,
     /// Time after which an unanswered lookup or document request is repeated.
     pub request_timeout: Duration,
@@ -136,6 +138,7 @@
             spread_burst: 40.0,
             rumour_ttl: Duration::from_secs(60),
             shuffle_interval: Duration::from_secs(5),
+            fast_shuffle_interval: Duration::from_millis(500),
             shuffle_len: 4,
             sample_own_zone: 8,
             sample_other_zone: 2,
--- a/crates/rhubarblanding_membership/tests/mechanisms.rs
+++ b/crates/rhubarblanding_membership/tests/mechanisms.rs
@@ -71,8 +71,12 @@
     violations
 }
 
-/// A leaving target must be known everywhere in time.
+/// A leaving target must be known everywhere in time, however rare probes are.
 fn leaving(settings: MembershipSettings) -> Vec<Violation> {
+    let settings = MembershipSettings {
+        probe_interval: Duration::from_secs(5),
+        ..settings
+    };
     let (mut fleet, mut oracle) = settled(settings);
     fleet.announce(7, TargetState::Draining);
     oracle.note_leaving(&fleet, 7);
