Send measured load to the hosts of the first service only

The baselines' clients know only hosts of the first service, none of which is killed, so the two were not comparable.

--- a/tools/measure/src/system/mod.rs
+++ b/tools/measure/src/system/mod.rs
@@ -123,9 +123,10 @@
         })
     }
 
+    /// Callers know the hosts of the first service only, whatever the system.
     fn route(&self, service: &str) -> Route {
         match self.system {
-            System::Nodes => Route::Nodes(self.cluster.entries()),
+            System::Nodes => Route::Nodes(self.cluster.entries_of(service)),
             _ => Route::Direct(self.cluster.backends_of(service)),
         }
     }
--- a/tools/standins/src/process/cluster.rs
+++ b/tools/standins/src/process/cluster.rs
@@ -86,6 +86,13 @@
         nodes.map(|node| node.caller).collect()
     }
 
+    /// Caller faces of the nodes beside the backend servers of `service`.
+    pub fn entries_of(&self, service: &str) -> Vec<SocketAddr> {
+        let hosts = self.hosts_of(service);
+        let nodes = hosts.iter().filter_map(|host| host.cfg.node);
+        nodes.map(|node| node.caller).collect()
+    }
+
     /// Addresses of the backend servers of `service`.
     pub fn backends_of(&self, service: &str) -> Vec<SocketAddr> {
         let hosts = self.hosts_of(service);
