--- a/crates/rhubarblanding_node/src/request/local.rs
+++ b/crates/rhubarblanding_node/src/request/local.rs
@@ -76,8 +76,8 @@
                 "body: must have at most {ANNOUNCEMENT_MAX_BYTES} bytes"
             ))
         })?;
-    let announcement: Announcement =
-        serde_json::from_slice(&bytes).map_err(|e| reject(format!("body: {e}")))?;
+    let announcement: Announcement = rhubarblanding_tickets::ticket::from_json(&bytes)
+        .map_err(|e| reject(format!("body: {e}")))?;
     if !(1..=SLOTS_MAX).contains(&announcement.slots) {
         return Err(reject(format!("slots: must be from 1 to {SLOTS_MAX}")));
     }
@@ -88,7 +88,7 @@
         return Err(reject(format!("address: this node serves {expected}")));
     }
     let state = announcement.state.unwrap_or(TargetState::Serving);
-    node.backend_state(state, Some(announcement.slots));
+    node.announced(state, announcement.slots);
     Ok(answer::json(StatusCode::OK, &()))
 }
 
@@ -124,7 +124,7 @@
         method: req.method,
         path,
         headers: outgoing_headers(req.headers),
-        body: read_body(req.body, kind).await?,
+        body: read_body(node, req.body, kind, &cx).await?,
         key,
     };
     let state = node.services.get(now, &call.service);
--- a/tools/measure/src/command/mod.rs
+++ b/tools/measure/src/command/mod.rs
@@ -11,7 +11,7 @@
 use crate::preset::Preset;
 use crate::recovery::Trigger;
 use crate::system::System;
-use crate::{drain, latency, overload, recovery};
+use crate::{drain, latency, overload, recovery, slopes};
 
 /// The whole command line.
 pub fn command() -> Command {
@@ -29,6 +29,7 @@
             "Latency added to a call, against direct calls",
         ))
         .subcommand(case("drain", "Goodput lost while a target leaves").arg(system()))
+        .subcommand(slopes::command())
 }
 
 fn case(name: &'static str, about: &'static str) -> Command {
@@ -121,6 +122,10 @@
             let rows = drain::run(&systems(args), preset(args), seed(args)).await?;
             Ok(text(args, &rows))
         }
+        Some((slopes::NAME, args)) => {
+            let report = slopes::run(args).change_context(StandinError::Settings)?;
+            Ok(report)
+        }
         _ => Err(Report::new(StandinError::Settings).attach("no such case")),
     }
 }
--- a/tools/measure/src/lib.rs
+++ b/tools/measure/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod overload;
 pub mod preset;
 pub mod recovery;
+pub mod slopes;
 pub mod system;
