Prove whole answers and truthful refusals with whole processes

The backend server stand-in now answers in chunks, with a given status, cut after a number of bytes, short with a clean end, or with a false not-run. Ruled out: an eased check.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -15,3 +15,5 @@
 mod silence;
 mod store_outage;
 mod support;
+mod truthful;
+mod whole_answers;
--- /dev/null
+++ b/tests/process/whole_answers.rs
@@ -0,0 +1,312 @@
+//! Every caller gets the whole answer of its own request, or an error.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rhubarblanding_core::error::RunState;
+use rhubarblanding_standins::backend::LoadAnswer;
+use rhubarblanding_standins::http::{client, get_json};
+use rhubarblanding_standins::load::{Caller, Ending, Identity, Outcome, Refused, Report, Route};
+use rhubarblanding_standins::process::{
+    ClusterPlan, Host, ServiceSettings, free_addresses, wait_until,
+};
+use rhubarblanding_standins::relay::{Relay, RelayChange, RelaySettings};
+
+use crate::support::{
+    Bench, block_on, doubled, load, not_completed, run, runs_by_key, service, settings, start,
+    start_plan,
+};
+
+/// Time in which the work of a caller that has gone is cancelled.
+const CANCELLED: Duration = Duration::from_secs(2);
+/// Downloads of known and of unknown length, longer than the time until the fault.
+const DOWNLOADS: [&str; 2] = [
+    "sized=GET,archives,/archive?bytes=400000&ms=3000,1,1",
+    "chunked=GET,archives,/archive/chunked?bytes=400000&ms=3000&chunked=1,1,1",
+];
+
+/// One service of two hosts; connections to the peer face of the second go through a relay.
+pub async fn start_behind_relay(service: ServiceSettings) -> (Bench, Relay) {
+    let mut plan = ClusterPlan::new(&settings(vec![service])).unwrap();
+    let cfg = RelaySettings {
+        listen: free_addresses(1).unwrap()[0],
+        target: plan.hosts[1].node.unwrap().peer,
+        control: None,
+    };
+    let relay = Relay::start(cfg).await.unwrap();
+    plan.hosts[1].peer_via = Some(relay.address());
+    for host in &mut plan.hosts {
+        host.seeds = vec![relay.address()];
+    }
+    (start_plan(plan).await, relay)
+}
+
+/// Number of requests whose last attempt ended with `reason`.
+fn ended_with(report: &Report, reason: &str) -> usize {
+    let last = report.outcomes.iter().filter_map(|o| o.attempts.last());
+    last.filter(|attempt| attempt.ending.reason() == reason)
+        .count()
+}
+
+/// Endings by reason, for the reader of the test's output.
+fn print(report: &Report) {
+    let offered = report.outcomes.len();
+    let (completed, failures) = (report.completed(), report.failures());
+    println!("completed {completed} of {offered}, failed attempts {failures:?}");
+}
+
+/// Loads one kind with one attempt for each request.
+async fn load_once(bench: &Bench, kind: &str, rate: f64, seconds: f64) -> Report {
+    let mut cfg = load(bench, &[kind], rate, seconds);
+    cfg.tries = 1;
+    let report = run(cfg).await;
+    print(&report);
+    report
+}
+
+fn a_cut_answer_is_no_whole_one(kind: &str) {
+    block_on(async {
+        let bench = start(vec![service("turnos", &[])]).await;
+        let report = load_once(&bench, kind, 50.0, 2.0).await;
+        assert_that!(report.outcomes.len(), gt(0));
+        assert_that!(report.completed(), eq(0));
+        assert_that!(report.wrong_answers(), eq(0));
+        assert_that!(ended_with(&report, "timeout"), eq(0));
+        let not_run = report.outcomes.iter().filter(|o| o.is_not_run());
+        assert_that!(not_run.count(), eq(0));
+        // The connections to the backend servers are usable again.
+        let report = load_once(&bench, "read=GET,turnos,/stock?bytes=5000,1,1", 50.0, 1.0).await;
+        assert_that!(not_completed(&report), is_empty());
+    });
+}
+
+rhubarblanding_core::cases! {
+    a_cut_answer_is_no_whole_one;
+    cut_answer_of_known_length: ("read=GET,turnos,/stock?bytes=100000&cut=40000,1,1");
+    cut_answer_in_chunks: ("read=GET,turnos,/stock?bytes=100000&cut=40000&chunked=1,1,1");
+    cut_answer_before_the_first_byte: ("read=GET,turnos,/stock?bytes=100000&cut=0,1,1");
+    cut_answer_before_the_last_byte: ("read=GET,turnos,/stock?bytes=100000&cut=99999,1,1");
+    cut_answer_that_would_be_kept: ("write=POST,turnos,/book?bytes=8000&cut=3000,1,1");
+    cut_answer_that_would_be_kept_in_chunks:
+        ("write=POST,turnos,/book?bytes=8000&cut=3000&chunked=1,1,1");
+    cut_answer_too_large_to_keep: ("write=POST,turnos,/book?bytes=200000&cut=100000,1,1");
+    cut_answer_too_large_to_keep_in_chunks:
+        ("write=POST,turnos,/book?bytes=200000&cut=100000&chunked=1,1,1");
+}
+
+#[test]
+fn the_check_notices_a_short_answer_with_a_clean_end() {
+    block_on(async {
+        let bench = start(vec![service("turnos", &[])]).await;
+        let kind = "read=GET,turnos,/stock?bytes=5000&short=4999,1,1";
+        let report = load_once(&bench, kind, 50.0, 0.5).await;
+        assert_that!(report.wrong_answers(), eq(report.outcomes.len() as u64));
+    });
+}
+
+/// What breaks while answers are under way.
+#[derive(Clone, Copy)]
+enum Fault {
+    /// The backend server of the second host is killed.
+    Backend,
+    /// The node of the second host is killed.
+    TargetNode,
+    /// The connections between the nodes are closed.
+    PeerConnection,
+}
+
+fn break_off(bench: &mut Bench, relay: &Relay, fault: Fault) {
+    let host = &mut bench.cluster.hosts[1];
+    match fault {
+        Fault::Backend => host.server = None,
+        Fault::TargetNode => host.node = None,
+        Fault::PeerConnection => relay.change(RelayChange {
+            cut: true,
+            ..RelayChange::default()
+        }),
+    }
+}
+
+fn downloads_end_whole_or_broken(fault: Fault) {
+    block_on(async {
+        let (mut bench, relay) = start_behind_relay(service("archives", &[])).await;
+        let mut cfg = load(&bench, &DOWNLOADS, 8.0, 2.0);
+        cfg.route = Route::Nodes(vec![bench.cluster.entries()[0]]);
+        cfg.tries = 1;
+        let running = tokio::spawn(run(cfg));
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        break_off(&mut bench, &relay, fault);
+        let report = running.await.unwrap();
+        print(&report);
+        assert_that!(report.wrong_answers(), eq(0));
+        assert_that!(ended_with(&report, "connection"), gt(0));
+        assert_that!(ended_with(&report, "timeout"), eq(0));
+        for kind in &report.kinds {
+            assert_that!(kind.completed, all![gt(0), lt(kind.offered)]);
+        }
+    });
+}
+
+rhubarblanding_core::cases! {
+    downloads_end_whole_or_broken;
+    downloads_when_a_backend_server_is_killed: (Fault::Backend);
+    downloads_when_the_node_of_the_target_is_killed: (Fault::TargetNode);
+    downloads_when_the_peer_connection_is_cut: (Fault::PeerConnection);
+}
+
+fn shape_is_passed_on_whole(kinds: &[&str], rate: f64) {
+    block_on(async {
+        let bench = start(vec![service("turnos", &[])]).await;
+        let mut cfg = load(&bench, kinds, rate, 2.0);
+        cfg.tries = 1;
+        let report = run(cfg).await;
+        print(&report);
+        assert_that!(not_completed(&report), is_empty());
+    });
+}
+
+rhubarblanding_core::cases! {
+    shape_is_passed_on_whole;
+    empty_answers: (
+        &["read=GET,turnos,/stock?bytes=0,1,1", "write=POST,turnos,/book?bytes=0,1,1"], 50.0);
+    empty_answers_in_chunks: (
+        &["read=GET,turnos,/stock?bytes=0&chunked=1,1,1",
+          "write=POST,turnos,/book?bytes=0&chunked=1,1,1"], 50.0);
+    large_answers: (
+        &["read=GET,turnos,/stock?bytes=8000000,1,1",
+          "write=POST,turnos,/book?bytes=8000000&chunked=1,1,1"], 4.0);
+    answers_around_the_greatest_that_is_kept: (
+        &["below=POST,turnos,/book?bytes=16383,1,1", "at=POST,turnos,/book?bytes=16384,1,1",
+          "above=POST,turnos,/book?bytes=16385,1,1"], 50.0);
+}
+
+/// Sends a request through the first node and returns status, length field and body.
+async fn exchange(
+    bench: &Bench,
+    method: http::Method,
+    path: &str,
+) -> (u16, Option<String>, Vec<u8>) {
+    let entry = bench.cluster.entries()[0];
+    let req = http::Request::builder()
+        .method(method)
+        .uri(format!("http://{entry}{path}"))
+        .header("x-request-id", "shape-1")
+        .body(http_body_util::Full::default())
+        .unwrap();
+    let resp = client().request(req).await.unwrap();
+    let length = resp.headers().get(http::header::CONTENT_LENGTH);
+    let length = length.map(|value| value.to_str().unwrap().to_owned());
+    let status = resp.status().as_u16();
+    let body = http_body_util::BodyExt::collect(resp.into_body()).await;
+    (status, length, body.unwrap().to_bytes().to_vec())
+}
+
+#[test]
+fn the_answer_to_head_has_the_length_and_no_body() {
+    block_on(async {
+        let bench = start(vec![service("turnos", &[])]).await;
+        let path = "/turnos/stock?bytes=5000";
+        let (status, length, body) = exchange(&bench, http::Method::HEAD, path).await;
+        assert_that!(status, eq(200));
+        assert_that!(length.as_deref(), some(eq("5000")));
+        assert_that!(body, is_empty());
+    });
+}
+
+#[test]
+fn an_answer_without_content_is_passed_on() {
+    block_on(async {
+        let bench = start(vec![service("turnos", &[])]).await;
+        for method in [http::Method::GET, http::Method::POST, http::Method::DELETE] {
+            let path = "/turnos/stock?bytes=0&status=204";
+            let (status, length, body) = exchange(&bench, method, path).await;
+            assert_that!(status, eq(204));
+            assert_that!(length, none());
+            assert_that!(body, is_empty());
+        }
+    });
+}
+
+/// Identity of a request that is repeated.
+fn identity(outcome: &Outcome) -> Identity {
+    Identity {
+        request_id: outcome.request_id.clone(),
+        idempotency_key: outcome.idempotency_key.clone(),
+    }
+}
+
+#[test]
+fn an_answer_too_large_to_keep_comes_whole_once() {
+    block_on(async {
+        let bench = start(vec![service("turnos", &[])]).await;
+        let kind = "write=POST,turnos,/book?bytes=200000,1,1";
+        let mut cfg = load(&bench, &[kind], 20.0, 1.0);
+        cfg.tries = 1;
+        let report = run(cfg.clone()).await;
+        print(&report);
+        assert_that!(not_completed(&report), is_empty());
+        let not_kept = Ending::Refused(Refused {
+            status: 409,
+            error: "answer_not_kept".to_owned(),
+            run_state: Some(RunState::Ran),
+        });
+        let caller = Caller::new();
+        for outcome in &report.outcomes {
+            for _ in bench.cluster.entries() {
+                let repeats = caller.call(&cfg, &cfg.kinds[0], &identity(outcome)).await;
+                assert_that!(repeats[0].ending, eq(&not_kept));
+            }
+        }
+        assert_that!(doubled(&runs_by_key(&bench, "turnos").await), is_empty());
+    });
+}
+
+async fn inside(host: &Host) -> u32 {
+    let client = client();
+    let answer = get_json::<LoadAnswer>(&client, host.cfg.backend.listen, "/load").await;
+    answer.unwrap().inside
+}
+
+fn work_of_a_gone_caller_is_cancelled(kind: &str) {
+    block_on(async {
+        let mut archives = service("archives", &[]);
+        archives.backend.slots = 4;
+        let bench = start(vec![archives]).await;
+        let mut cfg = load(&bench, &[kind], 200.0, 0.1);
+        cfg.tries = 1;
+        cfg.timeout = Duration::from_secs(1);
+        cfg.kinds[0].deadline = Some(Duration::from_secs(60));
+        let report = run(cfg).await;
+        print(&report);
+        let gone = ended_with(&report, "timeout") as u64;
+        assert_that!(gone, gt(0));
+        wait_until(CANCELLED, "all work is cancelled", async || {
+            let mut left = 0;
+            for host in &bench.cluster.hosts {
+                left += inside(host).await;
+            }
+            left == 0
+        })
+        .await
+        .unwrap();
+        let mut cancelled = 0;
+        for host in &bench.cluster.hosts {
+            cancelled += host.backend().counters().await.unwrap().cancelled;
+        }
+        println!("gone {gone}, cancelled {cancelled}");
+        assert_that!(cancelled, all![gt(0), le(gone)]);
+        // All slots of the nodes are free again.
+        let kind = "read=GET,archives,/stock,1,1";
+        let report = load_once(&bench, kind, 50.0, 1.0).await;
+        assert_that!(not_completed(&report), is_empty());
+    });
+}
+
+rhubarblanding_core::cases! {
+    work_of_a_gone_caller_is_cancelled;
+    gone_caller_of_a_download: ("archive=GET,archives,/archive?bytes=4000000&ms=20000,1,1");
+    gone_caller_of_chunks: ("archive=GET,archives,/archive?bytes=4000000&ms=20000&chunked=1,1,1");
+    gone_caller_of_a_read: ("read=GET,archives,/stock?ms=20000,1,1");
+    gone_caller_of_a_keyed_answer_too_large_to_keep:
+        ("write=POST,archives,/archive?bytes=4000000&ms=20000,1,1");
+}
--- a/tools/standins/src/backend/query.rs
+++ b/tools/standins/src/backend/query.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
-use http::Uri;
+use http::{StatusCode, Uri};
 
 use crate::answer::DEFAULT_ANSWER_BYTES;
 use crate::error::StandinError;
@@ -20,6 +20,16 @@
     pub bytes: u64,
     /// Service time, or the time over which an archive is sent.
     pub time: Option<Duration>,
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Whether the body is sent in chunks, without its length.
+    pub chunked: bool,
+    /// Number of bytes of the body after which the connection is broken off.
+    pub cut: Option<u64>,
+    /// Number of bytes after which the body ends as if it were whole, to show that a caller notices.
+    pub short: Option<u64>,
+    /// Whether the answer says after the work that there was none, to show that a test notices.
+    pub false_not_run: bool,
 }
 
 impl WorkQuery {
@@ -27,6 +37,11 @@
     pub fn is_archive(&self) -> bool {
         self.path.starts_with("/archive")
     }
+
+    /// Whether the body is sent bit by bit.
+    pub fn is_streamed(&self) -> bool {
+        self.chunked || self.cut.is_some()
+    }
 }
 
 impl TryFrom<&Uri> for WorkQuery {
@@ -37,10 +52,20 @@
             path: uri.path().to_owned(),
             bytes: DEFAULT_ANSWER_BYTES,
             time: None,
+            status: StatusCode::OK,
+            chunked: false,
+            cut: None,
+            short: None,
+            false_not_run: false,
         };
         for pair in uri.query().unwrap_or("").split('&') {
             match pair.split_once('=') {
                 Some(("bytes", raw)) => query.bytes = number(pair, raw)?,
+                Some(("status", raw)) => query.status = status(pair, raw)?,
+                Some(("chunked", _)) => query.chunked = true,
+                Some(("cut", raw)) => query.cut = Some(number(pair, raw)?),
+                Some(("short", raw)) => query.short = Some(number(pair, raw)?),
+                Some(("false_not_run", _)) => query.false_not_run = true,
                 Some(("ms", raw)) => query.time = Some(Duration::from_millis(number(pair, raw)?)),
                 _ => {}
             }
@@ -58,3 +83,9 @@
         Report::new(StandinError::Settings).attach(format!("`{pair}`: must be a number"))
     })
 }
+
+fn status(pair: &str, raw: &str) -> Result<StatusCode, Report<StandinError>> {
+    raw.parse().map_err(|_| {
+        Report::new(StandinError::Settings).attach(format!("`{pair}`: must be a status code"))
+    })
+}
--- a/tools/standins/src/backend/work.rs
+++ b/tools/standins/src/backend/work.rs
@@ -19,6 +19,8 @@
 
 /// Time over which an archive is sent when the request does not say.
 const ARCHIVE_TIME: Duration = Duration::from_secs(1);
+/// Time over which any other body is sent that is not sent at once.
+const STREAM_TIME: Duration = Duration::from_millis(60);
 
 /// One request that holds a slot; dropping it before [`Job::complete`] is a cancellation.
 #[derive(Debug)]
@@ -42,7 +44,7 @@
     }
 
     /// Ends the job without success, though not by cancellation.
-    fn fail(mut self) {
+    pub fn fail(mut self) {
         self.finish();
     }
 
@@ -127,7 +129,7 @@
 ) -> Response<AnswerBody> {
     if query.is_archive() {
         let time = query.time.unwrap_or(ARCHIVE_TIME);
-        return archive::slow_answer(job, query.bytes, time);
+        return archive::slow_answer(job, &query, time);
     }
     let mean = query.time.unwrap_or_else(|| shared.control().service_time);
     tokio::time::sleep(shared.service_times.draw(mean)).await;
@@ -141,9 +143,17 @@
         job.fail();
         return bytes_answer(StatusCode::INTERNAL_SERVER_ERROR, "told to fail");
     }
-    let body = answer::whole(&job.request_id, &query.path, query.bytes);
+    if query.false_not_run {
+        job.fail();
+        return not_run("said falsely");
+    }
+    if query.is_streamed() {
+        return archive::slow_answer(job, &query, STREAM_TIME);
+    }
+    let sent = query.short.unwrap_or(query.bytes);
+    let body = answer::whole(&job.request_id, &query.path, sent);
     job.complete();
-    bytes_answer(StatusCode::OK, body)
+    bytes_answer(query.status, body)
 }
 
 fn deadline_passed(headers: &HeaderMap, arrived: Instant) -> bool {
--- a/tools/standins/src/http/mod.rs
+++ b/tools/standins/src/http/mod.rs
@@ -1,6 +1,6 @@
 //! HTTP helpers shared by the stand-ins.
 
-use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,8 +17,8 @@
 
 use crate::error::StandinError;
 
-/// Body of an answer.
-pub type AnswerBody = BoxBody<Bytes, Infallible>;
+/// Body of an answer; an error breaks the connection off.
+pub type AnswerBody = BoxBody<Bytes, io::Error>;
 
 /// HTTP/1.1 client with a connection pool.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
@@ -42,7 +42,8 @@
 
 /// Answer with `status` and `bytes`.
 pub fn bytes_answer(status: StatusCode, bytes: impl Into<Bytes>) -> Response<AnswerBody> {
-    let mut answer = Response::new(Full::new(bytes.into()).boxed());
+    let body = Full::new(bytes.into()).map_err(|never| match never {});
+    let mut answer = Response::new(body.boxed());
     *answer.status_mut() = status;
     answer
 }
