Spread the document by its services

Cause: each ticket sent the whole document to every node. Change: the document is spread as one part for each service, so that a ticket moves what it touched. The history of submissions stays in the platform's service; deciding a ticket on a node's own document is taken back, since that document has no history. Ruled out: keeping the history with the nodes, which would move with every ticket.

--- a/crates/rhubarblanding_node/src/process/documents.rs
+++ b/crates/rhubarblanding_node/src/process/documents.rs
@@ -4,8 +4,11 @@
 
 use rand::Rng;
 use rhubarblanding_core::prelude::*;
-use rhubarblanding_membership::prelude::{Document as SpreadDocument, Input};
+use rhubarblanding_membership::prelude::{
+    Document as SpreadDocument, DocumentPart as SpreadPart, Input,
+};
 use rhubarblanding_store::prelude::WatchSettings;
+use rhubarblanding_tickets::DocumentPart;
 use rhubarblanding_tickets::prelude::{Document, DocumentWatch};
 use tokio::sync::watch;
 
@@ -35,29 +38,41 @@
 /// Adopts a document if it is newer, and spreads it.
 pub fn adopt(node: &Arc<Shared>, document: Document) {
     let version = document.version();
-    let Ok(body) = String::from_utf8(document.to_bytes()) else {
-        return;
-    };
+    let parts = document.to_parts().into_iter().map(spread_part).collect();
     if node.document.offer(document) {
         node.count(Event::DocumentAdopted);
         node.registry.forget_calls();
         log::info!("document version {} is in force", version.0);
-        node.member_input(Input::Document(SpreadDocument::whole(version, body)));
+        node.member_input(Input::Document(SpreadDocument { version, parts }));
     }
 }
 
 /// Adopts a document that came from a peer.
-pub fn received(node: &Arc<Shared>, spread: &SpreadDocument) {
-    let body = spread.parts.first().and_then(|part| part.body.as_ref());
-    let Some(body) = body else {
-        return;
-    };
-    match Document::from_bytes(body.as_bytes()) {
+pub fn received(node: &Arc<Shared>, spread: SpreadDocument) {
+    let version = spread.version;
+    let parts = spread.parts.into_iter().filter_map(document_part);
+    match Document::from_parts(version, parts) {
         Ok(document) => adopt(node, document),
-        Err(e) => log::warn!("document version {} not adopted: {e}", spread.version.0),
+        Err(e) => log::warn!("document version {} not adopted: {e}", version.0),
     }
 }
 
+fn spread_part(part: DocumentPart) -> SpreadPart {
+    SpreadPart {
+        name: part.service.into(),
+        version: part.version,
+        body: Some(part.body),
+    }
+}
+
+fn document_part(part: SpreadPart) -> Option<DocumentPart> {
+    Some(DocumentPart {
+        service: ServiceName::try_from(part.name).ok()?,
+        version: part.version,
+        body: part.body?,
+    })
+}
+
 /// Fetches the document of a peer that has a newer one.
 pub fn fetch(node: Arc<Shared>, from: HostId) {
     if !node.begin_fetch() {
--- a/crates/rhubarblanding_node/src/process/member.rs
+++ b/crates/rhubarblanding_node/src/process/member.rs
@@ -64,7 +64,7 @@
             node.services.get(now, &service).remove(host);
         }
         MemberEvent::NewerDocument { .. } => {}
-        MemberEvent::DocumentReceived(document) => documents::received(node, &document),
+        MemberEvent::DocumentReceived(document) => documents::received(node, document),
         MemberEvent::WatchStore(watch) => {
             watching.send_replace(watch);
         }
--- a/crates/rhubarblanding_node/src/request/operator.rs
+++ b/crates/rhubarblanding_node/src/request/operator.rs
@@ -131,8 +131,7 @@
     let req: SubmitRequest = read(body).await?;
     let ticket = Ticket::try_from(req.ticket).map_err(OperatorReject::bad)?;
     let number = ticket.number;
-    let mut submitter =
-        Submitter::new(req.submission, Arc::new(ticket)).with_known(node.document.get());
+    let mut submitter = Submitter::new(req.submission, Arc::new(ticket));
     let client = DocumentClient::new(node.store.clone());
     let seed = rand::rng().random();
     let verdict = client.submit(&mut submitter, SUBMIT_LIMIT, seed).await;
--- a/crates/rhubarblanding_tickets/src/document/mod.rs
+++ b/crates/rhubarblanding_tickets/src/document/mod.rs
@@ -66,6 +66,17 @@
     pub spec: Option<ServiceSpec>,
 }
 
+/// State of one service as it is spread between nodes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DocumentPart {
+    /// The service.
+    pub service: ServiceName,
+    /// Document version that set the state.
+    pub version: DocVersion,
+    /// The state in JSON.
+    pub body: String,
+}
+
 /// Everything that accepted tickets have put in force.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
@@ -144,6 +155,39 @@
         serde_json::to_vec(self).unwrap_or_default()
     }
 
+    /// The state of each service ever named, each as a text of its own with the version that set
+    /// it. The history stays in the key-value service.
+    pub fn to_parts(&self) -> Vec<DocumentPart> {
+        let part = |(name, entry): (&ServiceName, &ServiceEntry)| DocumentPart {
+            service: name.clone(),
+            version: entry.set_by.version,
+            // Serialization cannot fail: every key is a string or an integer.
+            body: serde_json::to_string(entry).unwrap_or_default(),
+        };
+        self.services.iter().map(part).collect()
+    }
+
+    /// Puts parts together to a document without history, of which a node needs nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body of a part is malformed.
+    pub fn from_parts(
+        version: DocVersion,
+        parts: impl IntoIterator<Item = DocumentPart>,
+    ) -> Result<Self, InvalidDocument> {
+        let mut document = Self {
+            version,
+            ..Self::default()
+        };
+        for part in parts {
+            let entry = crate::ticket::from_json(part.body.as_bytes())
+                .map_err(InvalidDocument::Malformed)?;
+            document.services.insert(part.service, entry);
+        }
+        Ok(document)
+    }
+
     /// Version: each change makes a higher one.
     pub fn version(&self) -> DocVersion {
         self.version
--- a/crates/rhubarblanding_tickets/src/lib.rs
+++ b/crates/rhubarblanding_tickets/src/lib.rs
@@ -41,7 +41,7 @@
 
 pub use adopt::Adopter;
 pub use client::{DocumentClient, DocumentWatch};
-pub use document::{Document, SubmissionId, TicketRefusal, Verdict, apply};
+pub use document::{Document, DocumentPart, SubmissionId, TicketRefusal, Verdict, apply};
 pub use spec::{BackendSpec, KindSpec, ServiceSpec};
 pub use submit::Submitter;
 pub use ticket::{InvalidTicket, RawTicket, Ticket};
--- a/crates/rhubarblanding_tickets/tests/document.rs
+++ b/crates/rhubarblanding_tickets/tests/document.rs
@@ -230,3 +230,23 @@
     assert_that!(adopter.offer(two.clone()), none());
     assert_that!(adopter.current().as_ref(), eq(&two));
 }
+
+#[test]
+fn parts_hold_every_service_and_the_version_that_set_it() {
+    let ticket = |number: u64, service: &str| {
+        let raw = format!(r#"{{"ticket":{number},"services":{{"{service}":{{"kinds":[]}}}}}}"#);
+        Ticket::from_json(raw.as_bytes()).unwrap()
+    };
+    let submission = |number: u128| SubmissionId(uuid::Uuid::from_u128(number));
+    let first = apply(&Document::default(), &ticket(1, "turnos"), submission(1)).unwrap();
+    let second = apply(&first, &ticket(2, "egresos"), submission(2)).unwrap();
+    let parts = second.to_parts();
+    let versions: Vec<u64> = parts.iter().map(|part| part.version.0).collect();
+    assert_that!(versions, elements_are![eq(&2), eq(&1)]);
+    let rebuilt = Document::from_parts(second.version(), parts).unwrap();
+    assert_that!(rebuilt.version(), eq(second.version()));
+    assert_that!(
+        rebuilt.entries().collect::<Vec<_>>(),
+        eq(&second.entries().collect::<Vec<_>>())
+    );
+}
