Keep one runner of stateful fuzzing

Cause: the same runner stood in three crates, and the reading of RHUBARBLANDING_FUZZ_CASES in six places. Change: tools/fuzzing holds both; seeds, cases and checks are as before. Ruled out: a module of rhubarblanding_core, which would bring proptest into the product. Measured: cargo test of request, admission, routing, once and tickets: green before and after. Conclusion: one place to change.

--- a/crates/rhubarblanding_admission/tests/entry/main.rs
+++ b/crates/rhubarblanding_admission/tests/entry/main.rs
@@ -1,7 +1,5 @@
 //! Refusal at the entry and throttling of callers.
 
-#[path = "../support/mod.rs"]
-mod support;
 mod world;
 
 use std::time::Duration;
@@ -13,7 +11,7 @@
 use rhubarblanding_core::prelude::{
     AdmissionLevel, ErrorKind, HostId, Importance, LoadReport, MonoTime, Priority, RootId,
 };
-use support::fuzz;
+use rhubarblanding_fuzzing::fuzz;
 use world::{EntryTest, Fault};
 
 /// Seed of every run in this file.
--- a/crates/rhubarblanding_admission/tests/gate/main.rs
+++ b/crates/rhubarblanding_admission/tests/gate/main.rs
@@ -1,8 +1,6 @@
 //! Shedding by importance: a gate under random arrivals, ends, limits and pauses.
 
 mod model;
-#[path = "../support/mod.rs"]
-mod support;
 mod world;
 
 use std::time::Duration;
@@ -13,7 +11,7 @@
 use rand::rngs::SmallRng;
 use rhubarblanding_admission::prelude::*;
 use rhubarblanding_core::prelude::{HashSet, Importance, MonoTime, Priority, RootId};
-use support::fuzz;
+use rhubarblanding_fuzzing::fuzz;
 
 /// Seed of every run in this file.
 const SEED: u64 = 4_002;
--- a/crates/rhubarblanding_once/tests/at_most_once/fuzz.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/fuzz.rs
@@ -1,7 +1,6 @@
 //! Stateful fuzzing of many nodes against the oracle, from a fixed seed.
 
 use std::cell::RefCell;
-use std::env;
 
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -19,11 +18,9 @@
 const CASES: u32 = 200;
 /// Operations of one case.
 const STEPS: usize = 120;
-const CASES_VARIABLE: &str = "RHUBARBLANDING_FUZZ_CASES";
 
 fn cases() -> u32 {
-    let value = env::var(CASES_VARIABLE).ok();
-    value.and_then(|value| value.parse().ok()).unwrap_or(CASES)
+    rhubarblanding_fuzzing::cases_or(CASES)
 }
 
 /// Runner with the fixed seed of [`TestRng::deterministic_rng`].
--- a/crates/rhubarblanding_request/tests/retry_bound/main.rs
+++ b/crates/rhubarblanding_request/tests/retry_bound/main.rs
@@ -2,13 +2,11 @@
 //! backend servers, and missing and forged tokens.
 
 mod model;
-#[path = "../support/mod.rs"]
-mod support;
 mod world;
 
 use googletest::prelude::*;
 use model::{Fault, TreeTest};
-use support::fuzz;
+use rhubarblanding_fuzzing::fuzz;
 
 /// Seed of every run in this file.
 const SEED: u64 = 4_001;
--- a/crates/rhubarblanding_routing/tests/router/main.rs
+++ b/crates/rhubarblanding_routing/tests/router/main.rs
@@ -1,13 +1,11 @@
 //! Target selection under random announcements, outcomes, drains and lost zones.
 
 mod model;
-#[path = "../support/mod.rs"]
-mod support;
 mod world;
 
 use googletest::prelude::*;
 use model::{Fault, RouterTest};
-use support::fuzz;
+use rhubarblanding_fuzzing::fuzz;
 
 /// Seed of every run in this file.
 const SEED: u64 = 4_006;
--- a/crates/rhubarblanding_tickets/tests/convergence/main.rs
+++ b/crates/rhubarblanding_tickets/tests/convergence/main.rs
@@ -31,10 +31,7 @@
 const DEFECT_CASES: u32 = 200;
 
 fn cases() -> u32 {
-    std::env::var("RHUBARBLANDING_FUZZ_CASES")
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(DEFAULT_CASES)
+    rhubarblanding_fuzzing::cases_or(DEFAULT_CASES)
 }
 
 fn runner(cases: u32) -> TestRunner {
--- a/crates/rhubarblanding_tickets/tests/robustness.rs
+++ b/crates/rhubarblanding_tickets/tests/robustness.rs
@@ -13,10 +13,8 @@
 const DEFAULT_CASES: u32 = 256;
 
 fn check<S: Strategy>(strategy: S, property: impl Fn(S::Value) -> bool) {
-    let cases = std::env::var("RHUBARBLANDING_FUZZ_CASES").ok();
-    let cases = cases.and_then(|text| text.parse().ok());
     let config = Config {
-        cases: cases.unwrap_or(DEFAULT_CASES),
+        cases: rhubarblanding_fuzzing::cases_or(DEFAULT_CASES),
         failure_persistence: None,
         ..Config::default()
     };
