--- a/tests/process/silence.rs
+++ b/tests/process/silence.rs
@@ -39,8 +39,14 @@
     cfg.route = Route::Nodes(vec![bench.cluster.entries()[0]]);
     let running = tokio::spawn(run(cfg));
     tokio::time::sleep(Duration::from_secs(2)).await;
+    let second = bench.cluster.hosts[1].backend();
     assert_that!(relay.freeze(), gt(0));
+    let accepted = relay.counts().accepted;
+    let started = second.counters().await.unwrap().started;
     let report = running.await.unwrap();
+    // The second host is reached again, over a connection that is new.
+    assert_that!(relay.counts().accepted, gt(accepted));
+    assert_that!(second.counters().await.unwrap().started, gt(started));
     (bench, report)
 }
 
--- a/tools/measure/tests/figures.rs
+++ b/tools/measure/tests/figures.rs
@@ -1,5 +1,7 @@
 //! Figures drawn from outcomes and run logs.
 
+#![expect(clippy::unwrap_used, reason = "a failed step ends the test")]
+
 use std::time::Duration;
 
 use googletest::prelude::*;
