Measure what calls cost the nodes on their path

Cause: docs/CAPACITY.md has no figures for the data path. Change: a case of the measuring tool that gives each node one role and fits its processor time against the calls a second. Ruled out: reading the time of a mixed cluster, where one node is entry and target at once. Measured: not run on a quiet machine yet.

--- a/tools/measure/src/command/mod.rs
+++ b/tools/measure/src/command/mod.rs
@@ -11,7 +11,7 @@
 use crate::preset::Preset;
 use crate::recovery::Trigger;
 use crate::system::System;
-use crate::{drain, latency, overload, recovery, slopes};
+use crate::{cost, drain, latency, overload, recovery, slopes};
 
 /// The whole command line.
 pub fn command() -> Command {
@@ -28,6 +28,10 @@
             "latency",
             "Latency added to a call, against direct calls",
         ))
+        .subcommand(case(
+            "cost",
+            "Processor time and memory of calls at the nodes on their path",
+        ))
         .subcommand(case("drain", "Goodput lost while a target leaves").arg(system()))
         .subcommand(slopes::command())
 }
@@ -118,6 +122,10 @@
             let rows = latency::run(preset(args), seed(args)).await?;
             Ok(text(args, &rows))
         }
+        Some(("cost", args)) => {
+            let rows = cost::run(preset(args), seed(args)).await?;
+            Ok(text(args, &rows))
+        }
         Some(("drain", args)) => {
             let rows = drain::run(&systems(args), preset(args), seed(args)).await?;
             Ok(text(args, &rows))
--- a/tools/measure/src/lib.rs
+++ b/tools/measure/src/lib.rs
@@ -5,6 +5,7 @@
 //! case: see [`system::System`].
 
 pub mod command;
+pub mod cost;
 pub mod drain;
 pub mod figures;
 pub mod latency;
--- a/tools/measure/src/slopes/mod.rs
+++ b/tools/measure/src/slopes/mod.rs
@@ -3,7 +3,7 @@
 mod baselines;
 mod bench;
 mod faults;
-mod fit;
+pub mod fit;
 mod fleet;
 mod report;
 mod settings;
