Watch a killed half for 25 s, and put the silent connection on the path of reads

Ruled out: the clients' entries, none of which is killed now.

The read test on a silent connection passed without using that connection, since a node prefers targets of its own zone: the second host ran no read after the freeze (31 before and after). Now each service has one host, so that every read crosses the relay, and the test fails for a fault of the node: reads in flight end as connection_lost where they should be sent again.

--- a/tests/process/silence.rs
+++ b/tests/process/silence.rs
@@ -16,9 +16,11 @@
 /// Time for the repeat of a request on a new connection.
 const REPEAT: Duration = Duration::from_millis(500);
 
-/// One service of two hosts; connections to the peer face of the second go through a relay.
+/// Two services of one host each; connections to the peer face of the second go through a relay.
 async fn start_with_relay() -> (Bench, Relay) {
-    let mut plan = ClusterPlan::new(&settings(vec![service("turnos", &[])])).unwrap();
+    let mut services = vec![service("turnos", &[]), service("egresos", &[])];
+    services.iter_mut().for_each(|service| service.hosts = 1);
+    let mut plan = ClusterPlan::new(&settings(services)).unwrap();
     let listen = free_addresses(1).unwrap()[0];
     let cfg = RelaySettings {
         listen,
@@ -53,7 +55,7 @@
 #[test]
 fn reads_on_a_silent_peer_connection_are_sent_again() {
     block_on(async {
-        let (_bench, report) = load_over_silence("read=GET,turnos,/stock,1,1").await;
+        let (_bench, report) = load_over_silence("read=GET,egresos,/stock,1,1").await;
         assert_that!(not_completed(&report), is_empty());
         let latencies = report.outcomes.iter().map(|o| o.ended - o.arrived);
         assert_that!(latencies.max().unwrap(), le(NOTICED + REPEAT));
@@ -63,8 +65,8 @@
 #[test]
 fn writes_on_a_silent_peer_connection_run_once_and_are_settled() {
     block_on(async {
-        let (bench, report) = load_over_silence("write=POST,turnos,/book,1,1").await;
-        assert_that!(doubled(&runs_by_key(&bench, "turnos").await), is_empty());
+        let (bench, report) = load_over_silence("write=POST,egresos,/book,1,1").await;
+        assert_that!(doubled(&runs_by_key(&bench, "egresos").await), is_empty());
         let late = report
             .outcomes
             .iter()
--- a/tools/measure/src/recovery/mod.rs
+++ b/tools/measure/src/recovery/mod.rs
@@ -9,7 +9,7 @@
 use rhubarblanding_standins::load::{Load, Report as LoadReport};
 use serde::Serialize;
 
-pub use trigger::{AFTER, BEFORE, LASTS, Trigger};
+pub use trigger::{BEFORE, LASTS, Trigger};
 
 use crate::figures::{self, Window, WindowFigures};
 use crate::output::{Row, decimal, top_counts};
@@ -71,7 +71,7 @@
             decimal(self.before_percent),
             decimal(self.during_percent),
             decimal(self.after_percent),
-            recovery.unwrap_or_else(|| format!("> {}", AFTER.as_secs())),
+            recovery.unwrap_or_else(|| format!("> {}", self.trigger.watched().as_secs())),
             decimal(self.p99_after_ms),
             self.wrong_answers.to_string(),
             top_counts(&self.failures_after, REASONS_SHOWN),
@@ -126,8 +126,8 @@
     };
     let before = figures(WARM_UP, BEFORE);
     let during = figures(BEFORE, over);
-    let after = figures(over, over + AFTER);
-    let intervals = (AFTER.as_millis() / INTERVAL.as_millis()) as u32;
+    let after = figures(over, over + trigger.watched());
+    let intervals = (trigger.watched().as_millis() / INTERVAL.as_millis()) as u32;
     let series = (0..intervals).map(|index| {
         let from = over + INTERVAL * index;
         share(&figures(from, from + INTERVAL))
--- a/tools/measure/src/recovery/trigger.rs
+++ b/tools/measure/src/recovery/trigger.rs
@@ -22,8 +22,10 @@
 pub const BEFORE: Duration = Duration::from_secs(5);
 /// Time that a trigger lasts.
 pub const LASTS: Duration = Duration::from_secs(10);
-/// Time after the trigger that is watched.
-pub const AFTER: Duration = Duration::from_secs(8);
+/// Time after a trigger that is watched.
+const AFTER: Duration = Duration::from_secs(8);
+/// Time after the end of targets that is watched, in which leases of the ended lapse.
+const AFTER_KILL: Duration = Duration::from_secs(25);
 
 /// Event that pushes a deployment into overload.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Display, EnumString)]
@@ -59,12 +61,20 @@
         }
     }
 
+    /// Time after the trigger that is watched.
+    pub fn watched(self) -> Duration {
+        match self {
+            Self::HalfKilled => AFTER_KILL,
+            _ => AFTER,
+        }
+    }
+
     /// Phases of the load at the ordinary `rate`.
     pub fn phases(self, rate: f64) -> Vec<Phase> {
         let phase = |rate, duration| Phase { rate, duration };
         match self {
             Self::DeepSlow => vec![phase(rate, BEFORE + LASTS + AFTER)],
-            Self::HalfKilled => vec![phase(rate, BEFORE + AFTER)],
+            Self::HalfKilled => vec![phase(rate, BEFORE + AFTER_KILL)],
             Self::Surge | Self::StoreDown => vec![
                 phase(rate, BEFORE),
                 phase(rate * SURGE_FACTOR, LASTS),
