Push changes to a target of the view as well

At 200 nodes one of 180 changes was not known everywhere within 10 s without any loss: a node that had run for long missed every push, as few samples held it. A node that has just joined was ruled out. Every target is in the views of its own service and its callers, so one push of each round to the view reaches it whatever the samples are.

slopes refuses fewer than 60 reference nodes, with which it panicked.

--- a/crates/rhubarblanding_membership/src/membership/spreading.rs
+++ b/crates/rhubarblanding_membership/src/membership/spreading.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use rhubarblanding_core::prelude::{HostId, Incarnation, TargetState};
 
 use super::{Cx, Membership, Timer};
@@ -154,7 +155,11 @@
         let records = self.rumours.next_round(self.settings.max_rumours);
         self.version_rounds = self.version_rounds.saturating_sub(1);
         let fanout = self.settings.gossip_fanout;
-        for to in self.sample.choose(cx.rng, fanout, self.me.host()) {
+        let me = self.me.host();
+        let mut peers = self.sample.choose(cx.rng, fanout, me);
+        let known = self.view.usable_hosts();
+        peers.extend(known.choose(cx.rng).filter(|host| **host != me));
+        for to in peers {
             self.send_with(cx, to, Body::Rumours, records.clone());
         }
     }
--- a/crates/rhubarblanding_membership/src/settings.rs
+++ b/crates/rhubarblanding_membership/src/settings.rs
@@ -68,7 +68,7 @@
     pub suspicion_timeout: Duration,
     /// Time between two pushes of fresh changes.
     pub gossip_interval: Duration,
-    /// Number of peers that one push goes to.
+    /// Number of peers of the sample that one push goes to; one target of the view is added.
     pub gossip_fanout: usize,
     /// Number of pushes that carry a change.
     pub gossip_rounds: u32,
--- a/tools/measure/src/slopes/settings.rs
+++ b/tools/measure/src/slopes/settings.rs
@@ -12,6 +12,8 @@
 
 /// Least number of nodes: two for each of the 19 availability zones.
 const MIN_NODES: usize = 38;
+/// Least number of nodes for the other variables: one for each of up to 60 services.
+const MIN_REFERENCE_NODES: usize = 60;
 
 /// What to measure.
 #[derive(Clone, Debug)]
@@ -112,11 +114,15 @@
             seed: value(matches, "seed"),
             json: matches.get_flag("json"),
         };
-        let sizes = settings.nodes.iter().chain([&settings.reference_nodes]);
+        let sizes = settings.nodes.iter();
         ensure!(
             sizes.min().is_some_and(|least| *least >= MIN_NODES),
+            Report::new(SlopesError::Settings).attach(format!("--nodes: at least {MIN_NODES}"))
+        );
+        ensure!(
+            settings.reference_nodes >= MIN_REFERENCE_NODES,
             Report::new(SlopesError::Settings)
-                .attach(format!("--nodes, --reference-nodes: at least {MIN_NODES}"))
+                .attach(format!("--reference-nodes: at least {MIN_REFERENCE_NODES}"))
         );
         ensure!(
             settings.nodes.len() >= 3,
