Show that keyed work outlives its caller and answers the repeat

Cause: the check that work of a gone caller is cancelled had no counterpart that must not be cancelled. Ruled out: a counter that always counts; here it stays at 0. Conclusion: cancellation is told apart by kind.

--- a/tests/process/whole_answers.rs
+++ b/tests/process/whole_answers.rs
@@ -539,3 +539,27 @@
         assert_that!(ended.is_err() || refused, eq(true));
     });
 }
+
+#[test]
+fn the_work_of_a_gone_caller_with_a_key_is_kept_for_its_repeat() {
+    block_on(async {
+        let bench = start(entry_and("archives")).await;
+        let kind = "write=POST,archives,/book?ms=1500,1,1";
+        let mut cfg = load(&bench, &[kind], 100.0, 0.2);
+        cfg.tries = 1;
+        cfg.timeout = Duration::from_millis(300);
+        let report = run(cfg.clone()).await;
+        print(&report);
+        assert_that!(ended_with(&report, "timeout"), eq(report.outcomes.len()));
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let backend = bench.cluster.hosts[1].backend();
+        assert_that!(backend.counters().await.unwrap().cancelled, eq(0));
+        for outcome in &report.outcomes {
+            let repeats = Caller::new()
+                .call(&cfg, &cfg.kinds[0], &identity(outcome))
+                .await;
+            assert_that!(repeats[0].ending, eq(&Ending::Completed));
+        }
+        assert_that!(doubled(&runs_by_key(&bench, "archives").await), is_empty());
+    });
+}
