--- a/tests/process/truthful.rs
+++ b/tests/process/truthful.rs
@@ -155,17 +155,25 @@
     refusals_are_true_over_a_pause_of_the_first_node: (0, Duration::from_secs(4));
 }
 
-/// Reads lose their connection to one target while they run, and the other target sheds.
-#[test]
-fn refusals_are_true_when_the_repeat_of_a_lost_read_is_shed() {
+/// Number of requests that ran and whose answer did not reach the caller.
+fn ran_in_vain(report: &Report, runs: &[Run]) -> usize {
+    let began = runs.iter().filter(|run| run.runs > 0);
+    let ran: Vec<&str> = began.map(|run| run.request_id.as_str()).collect();
+    let failed = report.outcomes.iter().filter(|o| !o.is_completed());
+    failed
+        .filter(|outcome| ran.contains(&outcome.request_id.as_str()))
+        .count()
+}
+
+/// Requests lose their connection to one target while they run, and the other target sheds.
+fn refusals_are_true_after_a_loss(kind: &str) {
     block_on(async {
         let (bench, relay) = start_behind_relay(vec![service("turnos", &[])]).await;
         let shed = ControlChange {
             shed_above: Some(0),
             ..ControlChange::default()
         };
-        let kinds = ["read=GET,turnos,/stock?ms=400,1,1"];
-        let mut cfg = single(&bench, &kinds, 40.0, 3.0);
+        let mut cfg = single(&bench, &[kind], 40.0, 3.0);
         cfg.route = Route::Nodes(vec![bench.cluster.entries()[0]]);
         let running = tokio::spawn(run(cfg));
         tokio::time::sleep(FAULT).await;
@@ -179,6 +187,33 @@
         let report = running.await.unwrap();
         print(&report);
         let runs = later_runs(&bench).await;
+        // The loss has hit requests that were running.
+        assert_that!(ran_in_vain(&report, &runs), gt(0));
+        assert_that!(with_reasons(&report, &runs), is_empty());
+    });
+}
+
+rhubarblanding_core::cases! {
+    refusals_are_true_after_a_loss;
+    refusals_are_true_when_the_repeat_of_a_lost_read_is_shed:
+        ("read=GET,turnos,/stock?ms=400,1,1");
+    refusals_are_true_when_a_keyed_write_is_lost: ("keyed=POST,turnos,/book?ms=400,1,1");
+    refusals_are_true_when_a_write_without_a_key_is_lost:
+        ("unkeyed=POST,turnos,/note?ms=400,1,1");
+}
+
+/// The node that stops refuses what it has not begun.
+#[test]
+fn refusals_are_true_while_a_node_stops() {
+    block_on(async {
+        let bench = start(vec![slow("turnos")]).await;
+        let running = tokio::spawn(run(single(&bench, &KINDS, 400.0, 4.0)));
+        tokio::time::sleep(FAULT).await;
+        let node = bench.cluster.hosts[1].node.as_ref().unwrap();
+        node.signal(Signal::Terminate).unwrap();
+        let report = running.await.unwrap();
+        print(&report);
+        let runs = later_runs(&bench).await;
         assert_that!(refused_as_not_run(&report), gt(0));
         assert_that!(with_reasons(&report, &runs), is_empty());
     });
--- a/tests/process/whole_answers.rs
+++ b/tests/process/whole_answers.rs
@@ -24,6 +24,8 @@
 
 /// Time in which the work of a caller that has gone is cancelled.
 const CANCELLED: Duration = Duration::from_secs(2);
+/// Calls of a backend server, made one after the other.
+const CALLS: usize = 20;
 /// Requests over one connection at a time.
 const CONCURRENT: usize = 200;
 /// Downloads of known and of unknown length, longer than the time until the fault.
@@ -563,3 +565,34 @@
         assert_that!(doubled(&runs_by_key(&bench, "archives").await), is_empty());
     });
 }
+
+/// Body that a backend server gets for a call through the node on its host, if it came to an end.
+async fn call_through(local: SocketAddr, number: usize, query: &str) -> Option<bytes::Bytes> {
+    let req = http::Request::get(format!("http://{local}/call/turnos/stock?{query}"))
+        .header("x-request-id", format!("call-{number}"))
+        .body(http_body_util::Full::default())
+        .unwrap();
+    let resp = client().request(req).await.ok()?;
+    let body = http_body_util::BodyExt::collect(resp.into_body()).await;
+    body.ok().map(http_body_util::Collected::to_bytes)
+}
+
+fn a_cut_answer_to_a_call_is_no_whole_one(query: &str) {
+    block_on(async {
+        let bench = start(vec![service("turnos", &[])]).await;
+        let local = bench.cluster.hosts[0].cfg.node.unwrap().local;
+        for number in 0..CALLS {
+            let whole = call_through(local, number, "bytes=100000").await;
+            let expected = answer::whole(&format!("call-{number}"), "/stock", 100_000);
+            assert_that!(whole.is_some_and(|body| body == expected), eq(true));
+            let cut = call_through(local, number, query).await;
+            assert_that!(cut.map(|body| body.len()), none());
+        }
+    });
+}
+
+rhubarblanding_core::cases! {
+    a_cut_answer_to_a_call_is_no_whole_one;
+    cut_answer_to_a_call_of_known_length: ("bytes=100000&cut=40000");
+    cut_answer_to_a_call_in_chunks: ("bytes=100000&cut=40000&chunked=1");
+}
