--- a/tests/process/truthful.rs
+++ b/tests/process/truthful.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use rhubarblanding_core::error::RunState;
 use rhubarblanding_core::importance::Idempotency;
 use rhubarblanding_standins::backend::{ControlChange, Run};
-use rhubarblanding_standins::load::{LoadSettings, Outcome, Report, Route};
+use rhubarblanding_standins::load::{Ending, LoadSettings, Outcome, Report, Route};
 use rhubarblanding_standins::process::{ServiceSettings, Signal};
 use rhubarblanding_standins::relay::RelayChange;
 
@@ -154,17 +155,25 @@
     refusals_are_true_over_a_pause_of_the_first_node: (0, Duration::from_secs(4));
 }
 
-/// Reads lose their connection to one target while they run, and the other target sheds.
-#[test]
-fn refusals_are_true_when_the_repeat_of_a_lost_read_is_shed() {
+/// Number of requests that ran and whose answer did not reach the caller.
+fn ran_in_vain(report: &Report, runs: &[Run]) -> usize {
+    let began = runs.iter().filter(|run| run.runs > 0);
+    let ran: Vec<&str> = began.map(|run| run.request_id.as_str()).collect();
+    let failed = report.outcomes.iter().filter(|o| !o.is_completed());
+    failed
+        .filter(|outcome| ran.contains(&outcome.request_id.as_str()))
+        .count()
+}
+
+/// Requests lose their connection to one target while they run, and the other target sheds.
+fn refusals_are_true_after_a_loss(kind: &str) {
     block_on(async {
-        let (bench, relay) = start_behind_relay(service("turnos", &[])).await;
+        let (bench, relay) = start_behind_relay(vec![service("turnos", &[])]).await;
         let shed = ControlChange {
             shed_above: Some(0),
             ..ControlChange::default()
         };
-        let kinds = ["read=GET,turnos,/stock?ms=400,1,1"];
-        let mut cfg = single(&bench, &kinds, 40.0, 3.0);
+        let mut cfg = single(&bench, &[kind], 40.0, 3.0);
         cfg.route = Route::Nodes(vec![bench.cluster.entries()[0]]);
         let running = tokio::spawn(run(cfg));
         tokio::time::sleep(FAULT).await;
@@ -178,6 +187,33 @@
         let report = running.await.unwrap();
         print(&report);
         let runs = later_runs(&bench).await;
+        // The loss has hit requests that were running.
+        assert_that!(ran_in_vain(&report, &runs), gt(0));
+        assert_that!(with_reasons(&report, &runs), is_empty());
+    });
+}
+
+rhubarblanding_core::cases! {
+    refusals_are_true_after_a_loss;
+    refusals_are_true_when_the_repeat_of_a_lost_read_is_shed:
+        ("read=GET,turnos,/stock?ms=400,1,1");
+    refusals_are_true_when_a_keyed_write_is_lost: ("keyed=POST,turnos,/book?ms=400,1,1");
+    refusals_are_true_when_a_write_without_a_key_is_lost:
+        ("unkeyed=POST,turnos,/note?ms=400,1,1");
+}
+
+/// The node that stops refuses what it has not begun.
+#[test]
+fn refusals_are_true_while_a_node_stops() {
+    block_on(async {
+        let bench = start(vec![slow("turnos")]).await;
+        let running = tokio::spawn(run(single(&bench, &KINDS, 400.0, 4.0)));
+        tokio::time::sleep(FAULT).await;
+        let node = bench.cluster.hosts[1].node.as_ref().unwrap();
+        node.signal(Signal::Terminate).unwrap();
+        let report = running.await.unwrap();
+        print(&report);
+        let runs = later_runs(&bench).await;
         assert_that!(refused_as_not_run(&report), gt(0));
         assert_that!(with_reasons(&report, &runs), is_empty());
     });
@@ -196,3 +232,77 @@
         assert_that!(noticed, all![gt(0), eq(report.outcomes.len())]);
     });
 }
+
+/// Time after which a caller gives an attempt up and repeats its key.
+const IMPATIENT: Duration = Duration::from_millis(150);
+
+/// Keyed requests whose last attempt was refused as not run though their key ran.
+fn denied(report: &Report, runs: &[Run]) -> Vec<String> {
+    let began = runs.iter().filter(|run| run.runs > 0);
+    let keys: Vec<&str> = began
+        .filter_map(|run| run.idempotency_key.as_deref())
+        .collect();
+    let of_keys = report.outcomes.iter().filter(|outcome| {
+        let key = outcome.idempotency_key.as_deref();
+        key.is_some_and(|key| keys.contains(&key))
+    });
+    of_keys
+        .filter(|outcome| ends_not_run(outcome))
+        .map(describe)
+        .collect()
+}
+
+fn ends_not_run(outcome: &Outcome) -> bool {
+    let last = outcome.attempts.last().map(|attempt| &attempt.ending);
+    matches!(last, Some(Ending::Refused(refused)) if refused.run_state == Some(RunState::NotRun))
+}
+
+/// What happens to the second node while callers repeat their keys.
+enum Fault {
+    Nothing,
+    Pause(Duration),
+}
+
+fn a_key_that_ran_is_not_denied(services: Vec<ServiceSettings>, rate: f64, fault: Fault) {
+    block_on(async {
+        let bench = start(services).await;
+        let mut cfg = single(&bench, &KINDS[..1], rate, 6.0);
+        cfg.tries = 4;
+        cfg.timeout = IMPATIENT;
+        let running = tokio::spawn(run(cfg));
+        tokio::time::sleep(FAULT).await;
+        if let Fault::Pause(time) = fault {
+            let node = bench.cluster.hosts[1].node.as_ref().unwrap();
+            node.signal(Signal::Stop).unwrap();
+            tokio::time::sleep(time).await;
+            node.signal(Signal::Continue).unwrap();
+        }
+        let report = running.await.unwrap();
+        print(&report);
+        let ended = report.outcomes.iter().filter(|o| ends_not_run(o));
+        println!("ended as not run {}", ended.count());
+        let runs = later_runs(&bench).await;
+        assert_that!(report.completed(), gt(0));
+        assert_that!(denied(&report, &runs), is_empty());
+    });
+}
+
+rhubarblanding_core::cases! {
+    a_key_that_ran_is_not_denied;
+    a_key_that_ran_is_not_denied_under_overload: (vec![slow("turnos")], 300.0, Fault::Nothing);
+    a_key_that_ran_is_not_denied_by_shedding: (vec![shedding("turnos")], 300.0, Fault::Nothing);
+    a_key_that_ran_is_not_denied_over_a_pause:
+        (vec![slow("turnos")], 150.0, Fault::Pause(Duration::from_secs(3)));
+}
+
+/// A key whose run is denied is noticed.
+#[test]
+fn the_check_notices_a_denied_key() {
+    block_on(async {
+        let bench = start(vec![service("turnos", &[])]).await;
+        let kinds = ["write=POST,turnos,/book?false_not_run=1,1,1"];
+        let report = run(single(&bench, &kinds, 20.0, 1.0)).await;
+        let runs = later_runs(&bench).await;
+        assert_that!(denied(&report, &runs).len(), eq(report.outcomes.len()));
+    });
+}
