Show five of the mended faults with process tests

Cause: the faults of the request path were found by reading and mended, but no test showed them. Ruled out: tests that pass without the mends.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -8,6 +8,7 @@
 mod end_to_end;
 mod leaving;
 mod malformed;
+mod mended;
 mod operators;
 mod retries;
 mod settings;
