--- a/tools/measure/src/recovery/mod.rs
+++ b/tools/measure/src/recovery/mod.rs
@@ -11,7 +11,7 @@
 
 pub use trigger::{BEFORE, LASTS, Trigger};
 
-use crate::figures::{self, Window, WindowFigures};
+use crate::figures::{self, KindFigures, Window, WindowFigures};
 use crate::output::{Row, decimal, top_counts};
 use crate::preset::Preset;
 use crate::system::{Deployment, System};
@@ -40,6 +40,8 @@
     pub during_percent: f64,
     /// Share of the offered worth that was completed from the end of the trigger on.
     pub after_percent: f64,
+    /// By kind, from the end of the trigger on.
+    pub kinds_after: Vec<KindFigures>,
     /// Time until goodput stays at 95 % of that before; none if it does not within the run.
     pub recovery_s: Option<f64>,
     /// 99th percentile of the latency of requests completed after the trigger.
@@ -57,6 +59,7 @@
         "before %",
         "during %",
         "after %",
+        "after by kind %",
         "recovery s",
         "p99 after ms",
         "wrong",
@@ -64,6 +67,8 @@
     ];
 
     fn cells(&self) -> Vec<String> {
+        let kinds = self.kinds_after.iter();
+        let kinds = kinds.map(|kind| decimal(kind.completed_percent()));
         let recovery = self.recovery_s.map(|seconds| format!("{seconds:.2}"));
         vec![
             self.system.to_string(),
@@ -71,6 +76,7 @@
             decimal(self.before_percent),
             decimal(self.during_percent),
             decimal(self.after_percent),
+            kinds.collect::<Vec<_>>().join("/"),
             recovery.unwrap_or_else(|| format!("> {}", self.trigger.watched().as_secs())),
             decimal(self.p99_after_ms),
             self.wrong_answers.to_string(),
@@ -138,6 +144,7 @@
         before_percent: share(&before),
         during_percent: share(&during),
         after_percent: share(&after),
+        kinds_after: after.kinds.clone(),
         recovery_s: recovery(&series.collect::<Vec<_>>(), share(&before)),
         p99_after_ms: after.latency_ms(0.99),
         wrong_answers: before.wrong_answers + during.wrong_answers + after.wrong_answers,
