Mend what the process tests found: silent reads, deadlines, releases, HTTP/1.0, gone callers

Cause: of about 80 reads in flight on a silent connection most were refused, since the retry budget held 20 at once, and since a retry was lent to targets that call nobody and lost with the connection. A keyed request at its deadline was called outcome_unknown. The copy of a key was asked before the home's release had reached it. An answer cut on the way to an HTTP/1.0 caller ended like a whole one. A keyed request whose caller had gone kept its place at the gate. Change: the budget allows as many retries at once as there were first attempts in a second, and a tenth after that; nothing is lent to kinds that were seen to call nobody; the refusal waits for the release, at most 100 ms; HTTP/1.0 is refused with 505; the wait at the gate ends with the caller. Ruled out: taking lost connections out of the budget, which would double the attempts at a service whose connections keep breaking.

--- a/crates/rhubarblanding_core/src/error.rs
+++ b/crates/rhubarblanding_core/src/error.rs
@@ -95,6 +95,8 @@
 error_kinds! {
     /// The request is malformed.
     InvalidRequest => 400, NotRun, Never, "refused.invalid_request", "The request is malformed.";
+    /// The protocol of the caller cannot show that an answer was cut.
+    ProtocolTooOld => 505, NotRun, Never, "refused.protocol_too_old", "HTTP/1.1 or HTTP/2 is required.";
     /// The idempotency key is not a UUID of version 7.
     InvalidKey => 400, NotRun, Never, "refused.invalid_key", "The idempotency key must be a UUID of version 7.";
     /// The idempotency key was minted later than the node's clock allows.
--- a/crates/rhubarblanding_node/src/process/homes.rs
+++ b/crates/rhubarblanding_node/src/process/homes.rs
@@ -23,21 +23,24 @@
 pub async fn send_messages(node: Arc<Shared>, mut messages: mpsc::UnboundedReceiver<Envelope>) {
     while let Some(envelope) = messages.recv().await {
         let node = Arc::clone(&node);
-        tokio::spawn(async move {
-            let to = envelope.to;
-            let sent = node.control.call(to.host, method::ONCE, (envelope,)).await;
-            // The ledger repeats what needs repeating.
-            match sent {
-                Ok(back) => {
-                    node.count(Event::ControlSent);
-                    node.once.receive_all(back);
-                }
-                Err(_) => {
-                    node.count(Event::ControlLost);
-                    node.once.unreachable(to);
-                }
-            }
-        });
+        tokio::spawn(async move { send_once(&node, envelope).await });
+    }
+}
+
+/// Sends one at-most-once message and takes what comes back with the answer.
+pub async fn send_once(node: &Arc<Shared>, envelope: Envelope) {
+    let to = envelope.to;
+    let sent = node.control.call(to.host, method::ONCE, (envelope,)).await;
+    // The ledger repeats what needs repeating.
+    match sent {
+        Ok(back) => {
+            node.count(Event::ControlSent);
+            node.once.receive_all(back);
+        }
+        Err(_) => {
+            node.count(Event::ControlLost);
+            node.once.unreachable(to);
+        }
     }
 }
 
--- a/crates/rhubarblanding_node/src/process/mod.rs
+++ b/crates/rhubarblanding_node/src/process/mod.rs
@@ -14,6 +14,7 @@
 pub use clock::Clock;
 pub use counters::{Counters, Event, Reporter};
 pub use documents::adopt as adopt_document;
+pub use homes::send_once;
 pub use node::{Node, NodeHandle, StartError};
 pub use phase::{Draining, Lifecycle, PhaseReader, Serving, Starting};
 pub use shared::Shared;
--- a/crates/rhubarblanding_node/src/request/backend.rs
+++ b/crates/rhubarblanding_node/src/request/backend.rs
@@ -85,7 +85,19 @@
     }
 }
 
-/// Waits for admission and sends the request once; its answer has to begin by `wait_until`.
+/// Waits for admission; dropping the wait gives up the place in the queue.
+///
+/// # Errors
+///
+/// The refusal of the gate, or of a service that the request will call.
+pub async fn admit(node: &Arc<Shared>, req: &BackendRequest) -> Result<GatePass, Refusal> {
+    let now = node.clock.now();
+    node.registry
+        .check_downstream(now, req.kind, req.cx.priority)?;
+    node.gate.admit(&req.cx, req.kind).await
+}
+
+/// Sends an admitted request once; its answer has to begin by `wait_until`.
 ///
 /// # Errors
 ///
@@ -94,17 +106,9 @@
     node: &Arc<Shared>,
     req: &BackendRequest,
     running: RequestRef,
+    pass: GatePass,
     wait_until: MonoTime,
 ) -> Result<BackendAnswer, BackendError> {
-    let now = node.clock.now();
-    node.registry
-        .check_downstream(now, req.kind, req.cx.priority)
-        .map_err(BackendError::NotRun)?;
-    let pass = node
-        .gate
-        .admit(&req.cx, req.kind)
-        .await
-        .map_err(BackendError::NotRun)?;
     let mut guard = Running {
         node: Arc::clone(node),
         pass,
--- a/crates/rhubarblanding_node/src/request/dispatch.rs
+++ b/crates/rhubarblanding_node/src/request/dispatch.rs
@@ -168,7 +168,9 @@
     ) -> Result<PeerAnswer, AttemptError> {
         let node = self.node;
         let now = node.clock.now();
-        let attempt = Attempt::new(number, id.host, node.registry.lend(self.payer));
+        let makes_calls = self.service.makes_calls(self.call.kind);
+        let lent = node.registry.lend(self.payer, makes_calls);
+        let attempt = Attempt::new(number, id.host, lent);
         let hop = Hop {
             cx: self.cx,
             remaining: self.cx.remaining(now),
@@ -204,6 +206,9 @@
         node.registry.settle_answered(self.payer, answered);
         self.note_versions(id.host, resp.headers());
         self.note_load(now, id, resp.headers());
+        if let Some(calls) = headers::parse::<u8>(resp.headers(), &headers::MAKES_CALLS) {
+            self.service.note_calls(self.call.kind, calls != 0);
+        }
         Ok(read_answer(resp, watch))
     }
 
--- a/crates/rhubarblanding_node/src/request/entry.rs
+++ b/crates/rhubarblanding_node/src/request/entry.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::uri::PathAndQuery;
-use http::{HeaderMap, Response, Uri};
+use http::{HeaderMap, Response, Uri, Version};
 use rand::Rng;
 use rhubarblanding_admission::prelude::{CallerId, KindId};
 use rhubarblanding_core::collections::stable_hash;
@@ -91,6 +91,7 @@
 }
 
 async fn enter(node: &Arc<Shared>, req: Taken) -> Result<Response<Body>, Rejected> {
+    check_version(req.version)?;
     let (service, path) = split_path(&req.uri)?;
     let document = node.document.get();
     let spec = document.service(&service).ok_or_else(|| {
@@ -159,6 +160,18 @@
     }
 }
 
+/// Refuses protocols that end an answer of unknown length by closing the connection.
+///
+/// # Errors
+///
+/// A refusal of kind [`ErrorKind::ProtocolTooOld`].
+pub fn check_version(version: Version) -> Result<(), Refusal> {
+    match version < Version::HTTP_11 {
+        true => Err(Refusal::new(ErrorKind::ProtocolTooOld)),
+        false => Ok(()),
+    }
+}
+
 /// Splits `/<service>/<path>` into the service and the path for its backend server.
 ///
 /// # Errors
--- a/crates/rhubarblanding_node/src/request/faces.rs
+++ b/crates/rhubarblanding_node/src/request/faces.rs
@@ -13,7 +13,7 @@
 use gotham::router::builder::build_simple_router;
 use gotham::service::call_handler;
 use gotham::state::{State, StateData, client_addr};
-use http::{HeaderMap, Method, Request, Response, Uri};
+use http::{HeaderMap, Method, Request, Response, Uri, Version};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use jsonrpsee::Methods;
@@ -46,6 +46,8 @@
     pub method: Method,
     /// Path and query.
     pub uri: Uri,
+    /// Version of HTTP.
+    pub version: Version,
     /// Headers.
     pub headers: HeaderMap,
     /// Body.
@@ -71,6 +73,7 @@
     let taken = Taken {
         method: Method::take_from(&mut state),
         uri: Uri::take_from(&mut state),
+        version: Version::take_from(&mut state),
         headers: HeaderMap::take_from(&mut state),
         body: Body::take_from(&mut state),
         sender: client_addr(&state).unwrap_or(unknown),
--- a/crates/rhubarblanding_node/src/request/headers.rs
+++ b/crates/rhubarblanding_node/src/request/headers.rs
@@ -21,6 +21,8 @@
 pub const SERVICE: HeaderName = HeaderName::from_static("rhubarblanding-service");
 /// Retries lent to a call between nodes.
 pub const ALLOWANCE: HeaderName = HeaderName::from_static("rhubarblanding-allowance");
+/// Whether requests of this kind were seen to make downstream calls, `0` or `1`.
+pub const MAKES_CALLS: HeaderName = HeaderName::from_static("rhubarblanding-makes-calls");
 /// Retries that a call between nodes gives back.
 pub const ALLOWANCE_LEFT: HeaderName = HeaderName::from_static("rhubarblanding-allowance-left");
 /// Whether a call may run twice.
--- a/crates/rhubarblanding_node/src/request/keyed.rs
+++ b/crates/rhubarblanding_node/src/request/keyed.rs
@@ -114,8 +114,10 @@
             step = route.on_failure(failure);
             let again = matches!(step, RouteStep::Ask { .. });
             let now = self.dispatch.node.clock.now();
-            let late = again && self.dispatch.cx.is_expired(now);
-            if late || again && self.dispatch.spend(reason(failure)).is_err() {
+            if matches!(failure, AskFailure::NoAnswer) && self.dispatch.cx.is_expired(now) {
+                return Err(Refusal::new(ErrorKind::DeadlineExceeded));
+            }
+            if again && self.dispatch.spend(reason(failure)).is_err() {
                 step = give_up(&mut route, failure);
             }
         }
--- a/crates/rhubarblanding_node/src/request/local.rs
+++ b/crates/rhubarblanding_node/src/request/local.rs
@@ -11,8 +11,8 @@
 
 use super::dispatch::Dispatch;
 use super::entry::{
-    OpenRequest, Rejected, asked_deadline, outgoing_headers, read_body, read_key, split_path,
-    unasked,
+    OpenRequest, Rejected, asked_deadline, check_version, outgoing_headers, read_body, read_key,
+    split_path, unasked,
 };
 use super::faces::Taken;
 use super::{CallRequest, RequestRef, answer, body, headers};
@@ -94,6 +94,7 @@
 
 async fn downstream(node: &Arc<Shared>, req: Taken) -> Result<Response<Body>, Rejected> {
     node.counters.event(Event::LocalCall);
+    check_version(req.version)?;
     let uri = without_prefix(&req.uri)?;
     let (service, path) = split_path(&uri)?;
     let document = node.document.get();
--- a/crates/rhubarblanding_node/src/request/once.rs
+++ b/crates/rhubarblanding_node/src/request/once.rs
@@ -140,6 +140,17 @@
         self.input(Input::Outcome { key, run, outcome });
     }
 
+    /// Reports that a dispatched request did not run, and returns the messages that have to arrive
+    /// before the request is asked for elsewhere.
+    #[must_use]
+    pub fn shed(&self, key: IdempotencyKey, run: RunId) -> Vec<Envelope> {
+        let outcome = Outcome::Shed;
+        let shed = Input::Outcome { key, run, outcome };
+        let messages = self.feed(&mut lock(&self.state), shed);
+        self.changed.notify_one();
+        messages
+    }
+
     /// Takes notice that a member cannot be reached.
     pub fn unreachable(&self, id: MemberId) {
         self.input(Input::Unreachable(id));
--- a/crates/rhubarblanding_node/src/request/registry.rs
+++ b/crates/rhubarblanding_node/src/request/registry.rs
@@ -123,9 +123,13 @@
         self.shard(req).ledger.begin_call(req.key, call)
     }
 
-    /// Lends part of the allowance to an attempt.
-    pub fn lend(&self, req: RequestRef) -> Lent {
-        self.shard(req).ledger.lend(req.key)
+    /// Lends part of the allowance to an attempt, nothing if its target can make no use of it.
+    pub fn lend(&self, req: RequestRef, makes_calls: bool) -> Lent {
+        let ledger = &mut self.shard(req).ledger;
+        match makes_calls {
+            true => ledger.lend(req.key),
+            false => ledger.lend_share(req.key, LendShare::Nothing),
+        }
     }
 
     /// Takes one retry from the allowance.
@@ -222,6 +226,11 @@
             .unwrap_or(AdmissionLevel::OPEN)
     }
 
+    /// Whether requests of `kind` were seen to call another service.
+    pub fn makes_calls(&self, kind: KindId) -> bool {
+        lock(&self.callees).contains_key(&kind)
+    }
+
     /// Forgets what the kinds call, because the kinds have changed.
     pub fn forget_calls(&self) {
         lock(&self.callees).clear();
--- a/crates/rhubarblanding_node/src/request/serve.rs
+++ b/crates/rhubarblanding_node/src/request/serve.rs
@@ -17,12 +17,14 @@
 use super::recorded;
 use super::{Hop, RequestRef, answer, body, headers, load_header};
 use crate::connection::Body;
-use crate::process::{Event, Shared};
+use crate::process::{Event, Shared, send_once};
 use crate::version::kind_id;
 
 /// Greatest size in bytes of a request body whose kind is not known here.
 const UNKNOWN_BODY_MAX_BYTES: usize = 16 << 20;
 
+/// Longest wait until the other members know that a key was given back.
+const RELEASE_WAIT: Duration = Duration::from_millis(100);
 /// Time after its deadline for which the outcome of a keyed request is waited for, so that it can
 /// be recorded although its caller has its final answer.
 const OUTCOME_GRACE: Duration = Duration::from_secs(30);
@@ -94,8 +96,10 @@
         node.counters.refusal(refusal.kind);
         answer::refusal(refusal, None)
     });
-    let left = headers::value(left);
-    resp.headers_mut().insert(headers::ALLOWANCE_LEFT, left);
+    let out = resp.headers_mut();
+    out.insert(headers::ALLOWANCE_LEFT, headers::value(left));
+    let makes_calls = u8::from(node.registry.makes_calls(kind));
+    out.insert(headers::MAKES_CALLS, headers::value(makes_calls));
     Ok(resp)
 }
 
@@ -188,7 +192,8 @@
     req: &BackendRequest,
     running: RequestRef,
 ) -> Result<Response<Body>, Refusal> {
-    let answer = backend::send(node, req, running, req.cx.deadline)
+    let pass = backend::admit(node, req).await?;
+    let answer = backend::send(node, req, running, pass, req.cx.deadline)
         .await
         .map_err(BackendError::refusal)?;
     Ok(stream(answer))
@@ -266,7 +271,7 @@
             };
             match verdict {
                 Verdict::Run(run) => {
-                    if let Some(resp) = self.run(run).await {
+                    if let Some(resp) = self.run(run, &mut gone).await {
                         return Ok(resp);
                     }
                 }
@@ -282,17 +287,26 @@
     }
 
     /// Sends the request and reports its outcome; an answer too large to be kept is returned.
-    async fn run(&mut self, run: RunId) -> Option<Response<Body>> {
+    async fn run(
+        &mut self,
+        run: RunId,
+        gone: &mut oneshot::Receiver<()>,
+    ) -> Option<Response<Body>> {
+        let admitted = tokio::select! {
+            admitted = backend::admit(&self.node, &self.req) => admitted,
+            // Nobody waits for the answer, and nothing has run.
+            _ = gone => Err(Refusal::new(ErrorKind::QueueTimeout)),
+        };
+        let pass = match admitted {
+            Ok(pass) => pass,
+            Err(refusal) => return self.give_up(run, refusal).await,
+        };
         self.sent = true;
         let wait_until = self.req.cx.deadline + OUTCOME_GRACE;
-        let sent = backend::send(&self.node, &self.req, self.running, wait_until);
+        let sent = backend::send(&self.node, &self.req, self.running, pass, wait_until);
         let answer = match sent.await {
             Ok(answer) => answer,
-            Err(BackendError::NotRun(refusal)) => {
-                self.refused = Some(refusal);
-                self.report(run, Outcome::Shed);
-                return None;
-            }
+            Err(BackendError::NotRun(refusal)) => return self.give_up(run, refusal).await,
             Err(BackendError::Unknown(_)) => {
                 self.report(run, Outcome::Lost);
                 return None;
@@ -317,6 +331,31 @@
         }
     }
 
+    /// Gives the key back after a refusal that tells more than the ledger's own.
+    async fn give_up(&mut self, run: RunId, refusal: Refusal) -> Option<Response<Body>> {
+        self.refused = Some(refusal);
+        self.release(run).await;
+        None
+    }
+
+    /// Gives the key back and waits until the other members know, since the entry node may ask one
+    /// of them next.
+    async fn release(&self, run: RunId) {
+        let messages = self.node.once.shed(self.key, run);
+        let sent = messages.into_iter().map(|envelope| {
+            let node = Arc::clone(&self.node);
+            tokio::spawn(async move { send_once(&node, envelope).await })
+        });
+        let sent: Vec<_> = sent.collect();
+        let all = async {
+            for task in sent {
+                // A message that is lost is repeated by the ledger.
+                let _ = task.await;
+            }
+        };
+        let _ = tokio::time::timeout(RELEASE_WAIT, all).await;
+    }
+
     fn report(&self, run: RunId, outcome: Outcome) {
         self.node.once.outcome(self.key, run, outcome);
     }
--- a/crates/rhubarblanding_node/src/version/services.rs
+++ b/crates/rhubarblanding_node/src/version/services.rs
@@ -25,6 +25,8 @@
     /// Levels by kind, since kinds differ in the services that they call further down.
     entries: HashMap<KindId, EntryGate>,
     budget: RetryBudget,
+    /// Kinds that are known to make no downstream calls.
+    leaves: HashSet<KindId>,
     rng: SmallRng,
     looked_up: Option<MonoTime>,
 }
@@ -45,6 +47,7 @@
             router: Router::new(RouterSettings::default()),
             entries: HashMap::default(),
             budget: RetryBudget::new(now, BudgetSettings::default()),
+            leaves: HashSet::default(),
             rng: SmallRng::from_os_rng(),
             looked_up: None,
         };
@@ -162,6 +165,20 @@
         entry.observe(now, id.host, report);
     }
 
+    /// Records whether a target has seen requests of `kind` make downstream calls.
+    pub fn note_calls(&self, kind: KindId, makes_calls: bool) {
+        let mut inner = lock(&self.inner);
+        match makes_calls {
+            true => inner.leaves.remove(&kind),
+            false => inner.leaves.insert(kind),
+        };
+    }
+
+    /// Whether requests of `kind` may make downstream calls.
+    pub fn makes_calls(&self, kind: KindId) -> bool {
+        !lock(&self.inner).leaves.contains(&kind)
+    }
+
     /// Records a failed attempt and returns what the retry budget says.
     pub fn failed(&self, now: MonoTime, kind: ErrorKind) -> BudgetState {
         let mut inner = lock(&self.inner);
--- a/crates/rhubarblanding_request/src/budget.rs
+++ b/crates/rhubarblanding_request/src/budget.rs
@@ -11,8 +11,11 @@
     pub retries_per_hundred: u32,
     /// Retries per second that are allowed also with few first attempts.
     pub floor_per_second: u32,
-    /// Retries that can be saved up.
+    /// Retries that may follow each other at once with few first attempts.
     pub burst: u32,
+    /// Time whose first attempts may be sent again at once with many, so that all that was lost
+    /// with one silent connection is sent again.
+    pub burst_time: Duration,
     /// Time after an overload answer during which nothing is sent again.
     pub overload_hold: Duration,
 }
@@ -23,6 +26,7 @@
             retries_per_hundred: 10,
             floor_per_second: 2,
             burst: 20,
+            burst_time: Duration::from_secs(1),
             overload_hold: Duration::from_millis(500),
         }
     }
@@ -43,21 +47,55 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     settings: BudgetSettings,
-    micro_retries: u64,
+    /// Retries taken and not yet made up for, in units of the bucket.
+    taken: u64,
+    rate: AttemptRate,
     refilled_at: MonoTime,
     overloaded_until: MonoTime,
 }
 
+/// First attempts in the present and in the last window.
+#[derive(Clone, Copy, Debug)]
+struct AttemptRate {
+    window: Duration,
+    since: MonoTime,
+    present: u64,
+    last: u64,
+}
+
+impl AttemptRate {
+    fn advance(&mut self, now: MonoTime) {
+        let elapsed = now.since(self.since);
+        if elapsed < self.window {
+            return;
+        }
+        let adjacent = elapsed < 2 * self.window;
+        self.last = if adjacent { self.present } else { 0 };
+        self.present = 0;
+        self.since = now;
+    }
+
+    fn per_window(&self) -> u64 {
+        self.last.max(self.present)
+    }
+}
+
 /// Bucket units of one retry.
 const RETRY: u64 = 1_000_000;
 /// Bucket units of one retry per hundred.
 const PERCENT: u64 = RETRY / 100;
 
 impl RetryBudget {
-    /// Creates a full bucket.
+    /// Creates a bucket of which nothing is taken.
     pub fn new(now: MonoTime, settings: BudgetSettings) -> Self {
         Self {
-            micro_retries: u64::from(settings.burst) * RETRY,
+            taken: 0,
+            rate: AttemptRate {
+                window: settings.burst_time,
+                since: now,
+                present: 0,
+                last: 0,
+            },
             settings,
             refilled_at: now,
             overloaded_until: MonoTime::ZERO,
@@ -67,7 +105,8 @@
     /// Records a first attempt.
     pub fn first_attempt(&mut self, now: MonoTime) {
         self.refill(now);
-        self.deposit(u64::from(self.settings.retries_per_hundred) * PERCENT);
+        self.rate.present += 1;
+        self.make_up(u64::from(self.settings.retries_per_hundred) * PERCENT);
     }
 
     /// Records a failure; kinds that say that the destination is overloaded stop all retries.
@@ -83,7 +122,8 @@
             return BudgetState::Overloaded;
         }
         self.refill(now);
-        if self.micro_retries < RETRY {
+        let burst = self.rate.per_window().max(u64::from(self.settings.burst));
+        if self.taken + RETRY > burst * RETRY {
             return BudgetState::Empty;
         }
         BudgetState::Available
@@ -93,7 +133,7 @@
     pub fn take(&mut self, now: MonoTime) -> BudgetState {
         let state = self.state(now);
         if state == BudgetState::Available {
-            self.micro_retries -= RETRY;
+            self.taken += RETRY;
         }
         state
     }
@@ -102,12 +142,12 @@
         let elapsed = now.since(self.refilled_at).as_micros() as u64;
         self.refilled_at = self.refilled_at.max(now);
         // One retry per second is one bucket unit per microsecond.
-        self.deposit(elapsed.saturating_mul(u64::from(self.settings.floor_per_second)));
+        self.make_up(elapsed.saturating_mul(u64::from(self.settings.floor_per_second)));
+        self.rate.advance(now);
     }
 
-    fn deposit(&mut self, units: u64) {
-        let full = u64::from(self.settings.burst) * RETRY;
-        self.micro_retries = self.micro_retries.saturating_add(units).min(full);
+    fn make_up(&mut self, units: u64) {
+        self.taken = self.taken.saturating_sub(units);
     }
 }
 
