Give up a trial of a lower limit early, and seldom repeat one without a result

A trial of a lower limit takes 30 % of the slots for 400 samples; at 200 requests/s a target has fewer within the longest window of 2 s, so each trial was given up without a result and begun again 2 s later. Change: a trial ends after a quarter of the samples if the throughput has clearly followed the limit, and one without a result lengthens the pause like one that failed. Ruled out: fewer samples for every verdict, which would keep lower limits by chance.

--- a/crates/rhubarblanding_admission/src/limit/control.rs
+++ b/crates/rhubarblanding_admission/src/limit/control.rs
@@ -10,6 +10,10 @@
 
 /// Part of the step down by which the throughput may follow a lower limit.
 const LOWER_LOSES_PART: f64 = 0.4;
+/// Part of the samples after which a lower limit may be given up early.
+const EARLY_SAMPLES_DIVISOR: u32 = 4;
+/// Part of the step down by which the throughput follows a lower limit that is given up early.
+const EARLY_LOSES_PART: f64 = 0.8;
 /// Part of the step up by which the throughput has to follow a higher limit.
 const HIGHER_GAINS_PART: f64 = 0.5;
 /// Growth of the pause between trials of a lower limit. Each costs goodput, so they soon become
@@ -120,11 +124,25 @@
         let latency = self.baselines.record(sample.kind, sample.own);
         self.window.record(&sample, latency);
         let enough = self.window.count() >= self.settings.samples;
-        if enough && now.since(self.window.started) >= self.settings.window {
+        let long_enough = now.since(self.window.started) >= self.settings.window;
+        if long_enough && (enough || self.is_lower_refuted()) {
             self.close_window(now);
         }
     }
 
+    /// Whether a part of the samples shows already that a lower limit costs throughput.
+    fn is_lower_refuted(&self) -> bool {
+        let Phase::Lower {
+            from, throughput, ..
+        } = self.phase
+        else {
+            return false;
+        };
+        let step = 1.0 - f64::from(self.limit) / f64::from(from.max(1));
+        self.window.count() >= self.settings.samples / EARLY_SAMPLES_DIVISOR
+            && self.window.throughput() < throughput * (1.0 - step * EARLY_LOSES_PART)
+    }
+
     /// Records that the backend server shed a request while `in_flight` were there.
     pub(crate) fn shed(&mut self, now: MonoTime, in_flight: u32) {
         let fixed = self.settings.policy == LimitPolicy::Fixed;
@@ -167,7 +185,11 @@
     fn abandon_window(&mut self, now: MonoTime) {
         if let Phase::Lower { from, .. } | Phase::Higher { from, .. } = self.phase {
             self.baselines.discard();
-            self.next_lower = self.next_lower.max(now + self.settings.lower_pause);
+            // A trial without a result has cost as much as any other.
+            if matches!(self.phase, Phase::Lower { .. }) {
+                self.lengthen_lower_pause();
+            }
+            self.next_lower = self.next_lower.max(now + self.lower_pause);
             return self.end_trial(now, from);
         }
         self.baselines.follow();
@@ -240,14 +262,18 @@
         }
         // The latency does not come from the concurrency, so it is the usual one from now on.
         self.baselines.adopt();
-        self.lower_pause =
-            (self.lower_pause * LOWER_PAUSE_FACTOR).min(self.settings.trial_pause_max);
+        self.lengthen_lower_pause();
         self.next_lower = now + self.lower_pause;
         // The last limit that was kept may have cost as much as was tolerated.
         let margin = if descended { MARGIN_PERCENT } else { 100 };
         self.end_trial(now, (from * margin).div_ceil(100));
     }
 
+    fn lengthen_lower_pause(&mut self) {
+        let longer = self.lower_pause * LOWER_PAUSE_FACTOR;
+        self.lower_pause = longer.min(self.settings.trial_pause_max);
+    }
+
     fn close_higher(&mut self, now: MonoTime, from: u32, before: f64) {
         let window = self.window;
         let step = f64::from(self.limit) / f64::from(from.max(1)) - 1.0;
