--- a/crates/rhubarblanding_node/src/request/mod.rs
+++ b/crates/rhubarblanding_node/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod gate;
 pub mod headers;
 mod keyed;
+mod keyed_run;
 mod load_header;
 mod local;
 mod once;
