Keep what may have run over a change of the home table, and drop two copies

Cause, found by reading the change again: a keyed call that follows a newer home table after home_unavailable began with a new route, which had forgotten that an earlier member was asked and did not answer. A later refusal could then say not-run of a key that this member may still run. The mapping of refusals that know nothing of a key stood twice, and so did the rejection of an unknown service. Change: the call remembers it over all tables and uses the mapping of unkeyed calls; both copies call the one that was there. Ruled out: following no table after home_unavailable, which would leave an entry node with replaced members stuck. Conclusion: a test with a table that changes between two attempts is still owed.

--- a/crates/rhubarblanding_node/src/request/dispatch.rs
+++ b/crates/rhubarblanding_node/src/request/dispatch.rs
@@ -233,7 +233,7 @@
 }
 
 /// The refusal that tells what is known after all attempts, not only after the last one.
-fn truthful(may_have_run: bool, refusal: Refusal) -> Refusal {
+pub fn truthful(may_have_run: bool, refusal: Refusal) -> Refusal {
     let not_run = refusal.kind.answer().run_state == RunState::NotRun;
     match may_have_run && not_run {
         true => Refusal {
--- a/crates/rhubarblanding_node/src/request/entry.rs
+++ b/crates/rhubarblanding_node/src/request/entry.rs
@@ -94,12 +94,9 @@
     check_version(req.version)?;
     let (service, path) = split_path(&req.uri)?;
     let document = node.document.get();
-    let spec = document.service(&service).ok_or_else(|| {
-        Rejected::new(
-            ErrorKind::UnknownService,
-            format!("path: `{service}` is not a service"),
-        )
-    })?;
+    let spec = document
+        .service(&service)
+        .ok_or_else(|| unknown_service(&service))?;
     let kind = spec.classify(req.method.as_str(), path.path());
     let now = node.clock.now();
     let deadline = now + asked_deadline(&req.headers, kind)?;
@@ -160,6 +157,12 @@
     }
 }
 
+/// Rejection of a path that names no service of the document.
+pub fn unknown_service(service: &ServiceName) -> Rejected {
+    let detail = format!("path: `{service}` is not a service");
+    Rejected::new(ErrorKind::UnknownService, detail)
+}
+
 /// Refuses protocols that end an answer of unknown length by closing the connection.
 ///
 /// # Errors
--- a/crates/rhubarblanding_node/src/request/keyed.rs
+++ b/crates/rhubarblanding_node/src/request/keyed.rs
@@ -7,7 +7,8 @@
 use rhubarblanding_request::prelude::*;
 use rhubarblanding_routing::prelude::*;
 
-use super::dispatch::{AttemptError, Dispatch, PeerAnswer};
+use super::dispatch::{AttemptError, Dispatch, PeerAnswer, truthful};
+use super::entry::unasked;
 use crate::connection::{Body, SendError};
 use crate::control;
 
@@ -19,6 +20,8 @@
     dispatch: &'a Dispatch<'a>,
     key: IdempotencyKey,
     number: u8,
+    /// Whether a member was asked that did not answer, by this table or an earlier one.
+    may_have_run: bool,
 }
 
 /// Sends the call until its outcome is known or it is given up.
@@ -31,6 +34,7 @@
         dispatch,
         key,
         number: 0,
+        may_have_run: false,
     };
     let mut refusal = Refusal::new(ErrorKind::HomeUnavailable);
     for _ in 0..TABLES_MAX {
@@ -53,20 +57,17 @@
     if refusal.kind == ErrorKind::OutcomeUnknown {
         control::refresh_table(dispatch.node, &dispatch.service);
     }
-    Err(asked(refusal))
+    Err(truthful(call.may_have_run, asked(key, refusal)))
 }
 
 /// The refusal for the caller: a member that does not decide on the key knows nothing of it.
-fn asked(refusal: Refusal) -> Refusal {
+fn asked(key: IdempotencyKey, refusal: Refusal) -> Refusal {
     let knows_nothing = matches!(
         refusal.kind,
         ErrorKind::HomeMoved | ErrorKind::NoTarget | ErrorKind::ConnectFailed
     );
     match knows_nothing {
-        true => Refusal {
-            kind: ErrorKind::HomeUnavailable,
-            ..refusal
-        },
+        true => unasked(Some(key), refusal),
         false => refusal,
     }
 }
@@ -139,6 +140,7 @@
             Ok(PeerAnswer::Refused(refusal)) => Err(AskFailure::Refused(refusal)),
             Err(AttemptError::Send(SendError::Connect)) => Err(AskFailure::NotSent),
             Err(AttemptError::Send(SendError::Lost) | AttemptError::Deadline) => {
+                self.may_have_run = true;
                 Err(AskFailure::NoAnswer)
             }
         }
--- a/crates/rhubarblanding_node/src/request/local.rs
+++ b/crates/rhubarblanding_node/src/request/local.rs
@@ -12,7 +12,7 @@
 use super::dispatch::Dispatch;
 use super::entry::{
     OpenRequest, Rejected, asked_deadline, check_version, outgoing_headers, read_body, read_key,
-    split_path, unasked,
+    split_path, unasked, unknown_service,
 };
 use super::faces::Taken;
 use super::{CallRequest, RequestRef, answer, body, headers};
@@ -98,12 +98,9 @@
     let uri = without_prefix(&req.uri)?;
     let (service, path) = split_path(&uri)?;
     let document = node.document.get();
-    let spec = document.service(&service).ok_or_else(|| {
-        Rejected::new(
-            ErrorKind::UnknownService,
-            format!("path: `{service}` is not a service"),
-        )
-    })?;
+    let spec = document
+        .service(&service)
+        .ok_or_else(|| unknown_service(&service))?;
     let kind = spec.classify(req.method.as_str(), path.path());
     let now = node.clock.now();
     let deadline = now + asked_deadline(&req.headers, kind)?;
