--- a/crates/rhubarblanding_admission/src/lib.rs
+++ b/crates/rhubarblanding_admission/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod gate;
 pub mod limit;
 pub mod retry_after;
+pub mod slots;
 
 /// The names that a user of this crate types daily.
 pub mod prelude {
--- /dev/null
+++ b/crates/rhubarblanding_admission/src/slots/gate.rs
@@ -0,0 +1,305 @@
+//! State machine of the gate.
+
+use std::time::Duration;
+
+use rhubarblanding_core::prelude::*;
+
+use super::KindKey;
+use super::estimate::HoldTimes;
+use super::queue::{Queue, Waiting};
+
+/// Settings of a [`SlotGate`].
+#[derive(Clone, Debug)]
+pub struct SlotSettings {
+    /// Share of the announced slots that is used, at most 1. Some backend servers slow down when
+    /// they are nearly full.
+    pub usable_share: f64,
+    /// Share of a request's time to its objective that may pass before its slot is expected. What
+    /// is expected to wait longer is refused on arrival.
+    pub patience: f64,
+    /// Greatest number of waiting requests for each slot.
+    pub queue_per_slot: f64,
+    /// Bounds of the time after which a refused request is told to come back.
+    pub retry_after_min: Duration,
+    /// See [`retry_after_min`](Self::retry_after_min).
+    pub retry_after_max: Duration,
+}
+
+impl Default for SlotSettings {
+    fn default() -> Self {
+        Self {
+            usable_share: 1.0,
+            patience: 0.9,
+            queue_per_slot: 2.0,
+            retry_after_min: Duration::from_millis(50),
+            retry_after_max: Duration::from_secs(2),
+        }
+    }
+}
+
+/// A request that asks for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlotArrival {
+    /// Number chosen by the owner of the gate, distinct among the requests that it holds.
+    pub id: u64,
+    /// Urgency, 0 is the most urgent.
+    pub rank: u8,
+    /// Kind of the request.
+    pub kind: KindKey,
+    /// Time until which the answer is worth most.
+    pub objective: MonoTime,
+    /// Time after which the answer is of no use.
+    pub deadline: MonoTime,
+}
+
+/// Answer to a [`SlotArrival`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotDecision {
+    /// Send it now.
+    Admitted,
+    /// Hold it until a [`SlotVerdict`] names it.
+    Queued,
+    /// Refuse it now.
+    Refused(Refusal),
+}
+
+/// Later decision on a queued request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotVerdict {
+    /// Send the request now.
+    Admitted(u64),
+    /// Refuse the request now.
+    Refused(u64, Refusal),
+}
+
+/// Load as it is reported to other nodes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SlotLoad {
+    /// Requests at the backend server.
+    pub running: u32,
+    /// Requests waiting for a slot.
+    pub queued: u32,
+    /// Slots in use at most.
+    pub limit: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    kind: KindKey,
+    since: MonoTime,
+}
+
+/// Gate of one backend server.
+#[derive(Debug)]
+pub struct SlotGate {
+    settings: SlotSettings,
+    slots: u32,
+    running: HashMap<u64, Running>,
+    queue: Queue,
+    hold_times: HoldTimes,
+    timers: TimerService<u64>,
+    verdicts: Vec<SlotVerdict>,
+}
+
+impl SlotGate {
+    /// Creates a gate without slots; see [`set_slots`](Self::set_slots).
+    pub fn new(settings: SlotSettings) -> Self {
+        Self {
+            settings,
+            slots: 0,
+            running: HashMap::default(),
+            queue: Queue::default(),
+            hold_times: HoldTimes::default(),
+            timers: TimerService::new(),
+            verdicts: Vec::new(),
+        }
+    }
+
+    /// Takes over the number of slots that the backend server announced.
+    pub fn set_slots(&mut self, now: MonoTime, announced: u32) {
+        let usable = f64::from(announced) * self.settings.usable_share;
+        self.slots = (usable.round() as u32).max(u32::from(announced > 0));
+        self.fill(now);
+    }
+
+    /// Forgets what was learned, for a backend server that has started anew.
+    pub fn restart(&mut self) {
+        self.hold_times.clear();
+    }
+
+    /// Decides on a request. Every refusal is final and given at once.
+    pub fn arrive(&mut self, now: MonoTime, arrival: SlotArrival) -> SlotDecision {
+        self.advance(now);
+        if !self.can_finish(now, &arrival) {
+            return SlotDecision::Refused(Refusal::new(ErrorKind::QueueTimeout));
+        }
+        if self.queue.len() == 0 && self.has_free_slot() {
+            self.start(now, arrival);
+            return SlotDecision::Admitted;
+        }
+        let ahead = self.queue.ahead_of(arrival.rank, arrival.objective);
+        let wait = self.expected_wait(ahead);
+        let room = now
+            .until(arrival.objective)
+            .saturating_sub(self.hold_times.of(arrival.kind));
+        if wait > room.mul_f64(self.settings.patience) {
+            return SlotDecision::Refused(self.refusal(wait));
+        }
+        if self.queue.len() >= self.queue_max() && !self.make_room(arrival.rank) {
+            return SlotDecision::Refused(self.refusal(wait));
+        }
+        self.enqueue(now, arrival);
+        SlotDecision::Queued
+    }
+
+    /// Records that an admitted request ended. `answered` tells whether the backend server ran it
+    /// to an answer, so that the time it took is of use.
+    pub fn finished(&mut self, now: MonoTime, id: u64, answered: bool) {
+        if let Some(running) = self.running.remove(&id)
+            && answered
+        {
+            self.hold_times
+                .record(running.kind, now.since(running.since));
+        }
+        self.advance(now);
+    }
+
+    /// Records that the sender gave up on a request, queued or admitted.
+    pub fn cancelled(&mut self, now: MonoTime, id: u64) {
+        if let Some(waiting) = self.queue.remove(id) {
+            self.timers.cancel(waiting.timer);
+        }
+        self.finished(now, id, false);
+    }
+
+    /// Returns the decisions on queued requests since the last call.
+    pub fn poll(&mut self, now: MonoTime) -> Vec<SlotVerdict> {
+        self.advance(now);
+        std::mem::take(&mut self.verdicts)
+    }
+
+    /// Time at which [`poll`](Self::poll) has to be called at the latest.
+    pub fn next_due(&self) -> Option<MonoTime> {
+        self.timers.next_due()
+    }
+
+    /// Load to be reported.
+    pub fn load(&self) -> SlotLoad {
+        SlotLoad {
+            running: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+            limit: self.slots,
+        }
+    }
+
+    /// Refuses everything that waits; what runs is not touched.
+    pub fn refuse_waiting(&mut self, kind: ErrorKind) {
+        for waiting in self.queue.take_all() {
+            self.timers.cancel(waiting.timer);
+            let verdict = SlotVerdict::Refused(waiting.arrival.id, Refusal::new(kind));
+            self.verdicts.push(verdict);
+        }
+    }
+
+    fn advance(&mut self, now: MonoTime) {
+        for id in self.timers.expire(now) {
+            self.on_timer(now, id);
+        }
+        self.fill(now);
+    }
+
+    /// The objective or the deadline of a waiting request cannot be met any more.
+    fn on_timer(&mut self, now: MonoTime, id: u64) {
+        let Some(waiting) = self.queue.get(id).copied() else {
+            return;
+        };
+        if self.can_finish(now, &waiting.arrival) {
+            let due = self.latest_start(waiting.arrival.deadline, waiting.arrival.kind);
+            let timer = self
+                .timers
+                .subscribe(due.max(now + Duration::from_millis(1)), id);
+            self.queue.set_late(id, timer);
+            return;
+        }
+        self.queue.remove(id);
+        let refusal = Refusal::new(ErrorKind::QueueTimeout);
+        self.verdicts.push(SlotVerdict::Refused(id, refusal));
+    }
+
+    fn enqueue(&mut self, now: MonoTime, arrival: SlotArrival) {
+        let due = self.latest_start(arrival.objective, arrival.kind);
+        let timer = self.timers.subscribe(due, arrival.id);
+        self.queue.push(arrival, now, timer);
+    }
+
+    fn fill(&mut self, now: MonoTime) {
+        while self.has_free_slot() {
+            let Some(waiting) = self.queue.pop() else {
+                return;
+            };
+            self.timers.cancel(waiting.timer);
+            self.admit_waiting(now, waiting);
+        }
+    }
+
+    fn admit_waiting(&mut self, now: MonoTime, waiting: Waiting) {
+        let id = waiting.arrival.id;
+        if self.can_finish(now, &waiting.arrival) {
+            self.start(now, waiting.arrival);
+            self.verdicts.push(SlotVerdict::Admitted(id));
+        } else {
+            let refusal = self.refusal(now.since(waiting.since));
+            self.verdicts.push(SlotVerdict::Refused(id, refusal));
+        }
+    }
+
+    fn make_room(&mut self, rank: u8) -> bool {
+        let Some(id) = self.queue.last_below(rank) else {
+            return false;
+        };
+        if let Some(waiting) = self.queue.remove(id) {
+            self.timers.cancel(waiting.timer);
+            let wait = self.expected_wait(self.queue.len());
+            let refusal = self.refusal(wait);
+            self.verdicts.push(SlotVerdict::Refused(id, refusal));
+        }
+        true
+    }
+
+    fn start(&mut self, now: MonoTime, arrival: SlotArrival) {
+        let running = Running {
+            kind: arrival.kind,
+            since: now,
+        };
+        self.running.insert(arrival.id, running);
+    }
+
+    fn has_free_slot(&self) -> bool {
+        (self.running.len() as u32) < self.slots
+    }
+
+    fn queue_max(&self) -> usize {
+        (f64::from(self.slots) * self.settings.queue_per_slot).ceil() as usize
+    }
+
+    fn latest_start(&self, end: MonoTime, kind: KindKey) -> MonoTime {
+        end - self.hold_times.of(kind)
+    }
+
+    fn can_finish(&self, now: MonoTime, arrival: &SlotArrival) -> bool {
+        // Half of the usual time: some requests of a kind are much quicker than the average.
+        now + self.hold_times.of(arrival.kind) / 2 < arrival.deadline
+    }
+
+    /// Time until a slot is free for a request with `ahead` others before it.
+    fn expected_wait(&self, ahead: usize) -> Duration {
+        let rounds = (ahead as f64 + 1.0) / f64::from(self.slots.max(1));
+        self.hold_times.overall().mul_f64(rounds)
+    }
+
+    fn refusal(&self, wait: Duration) -> Refusal {
+        let min = self.settings.retry_after_min;
+        let retry_after = wait.clamp(min, self.settings.retry_after_max);
+        Refusal::with_retry_after(ErrorKind::Overloaded, retry_after)
+    }
+}
--- a/crates/rhubarblanding_core/src/error.rs
+++ b/crates/rhubarblanding_core/src/error.rs
@@ -105,6 +105,10 @@
     KeyConflict => 422, NotRun, Never, "refused.key_conflict", "The idempotency key was used for a different request.";
     /// No ticket names the service.
     UnknownService => 404, NotRun, Never, "refused.unknown_service", "No such service.";
+    /// No route of the configuration matches host and path.
+    UnknownRoute => 404, NotRun, Never, "refused.unknown_route", "No such route.";
+    /// The node has not read a configuration yet.
+    NoConfiguration => 503, NotRun, After, "refused.no_configuration", "The node has no configuration yet.";
     /// The body is larger than allowed for its kind.
     BodyTooLarge => 413, NotRun, Never, "refused.body_too_large", "The request body is too large.";
     /// The target's node sheds load of this priority.
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/connection/mod.rs
@@ -0,0 +1,12 @@
+//! What lives for a connection: servers, the pool to the local target, and links to other nodes.
+
+mod backend;
+mod payload;
+mod peer;
+mod server;
+mod socket;
+
+pub use backend::{BackendConn, BackendPool, ConnectError, ExchangeError};
+pub use payload::{Payload, TailGuard};
+pub use peer::{PeerError, PeerPool};
+pub use server::{ClientServer, Handler, PeerServer, ResponseFuture, bind};
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/connection/payload.rs
@@ -0,0 +1,123 @@
+//! Bodies of answers: held whole, or passed on as they come.
+
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+
+/// Something that must learn how a passed-on body ended.
+pub trait TailGuard: Send + 'static {
+    /// Called once: `whole` tells whether the body came to its proper end.
+    fn ended(&mut self, whole: bool);
+}
+
+/// Body of an answer.
+pub enum Payload {
+    /// Held whole; `None` once it was handed out.
+    Whole(Option<Bytes>),
+    /// Passed on as it comes.
+    Stream(Box<Tail>),
+}
+
+/// A body of which the first chunks were already read.
+pub struct Tail {
+    first: VecDeque<Bytes>,
+    rest: Incoming,
+    guard: Option<Box<dyn TailGuard>>,
+}
+
+impl Payload {
+    /// Body without content.
+    pub fn empty() -> Self {
+        Self::Whole(None)
+    }
+
+    /// Body held whole.
+    pub fn whole(bytes: Bytes) -> Self {
+        Self::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+
+    /// Body that goes on with `rest` after `first`.
+    pub fn stream(first: VecDeque<Bytes>, rest: Incoming, guard: Box<dyn TailGuard>) -> Self {
+        Self::Stream(Box::new(Tail {
+            first,
+            rest,
+            guard: Some(guard),
+        }))
+    }
+}
+
+impl Tail {
+    fn end(&mut self, whole: bool) {
+        if let Some(mut guard) = self.guard.take() {
+            guard.ended(whole);
+        }
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if let Some(chunk) = self.first.pop_front() {
+            return Poll::Ready(Some(Ok(Frame::data(chunk))));
+        }
+        let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
+        match &frame {
+            None => self.end(true),
+            Some(Err(_)) => self.end(false),
+            Some(Ok(_)) if self.rest.is_end_stream() => self.end(true),
+            Some(Ok(_)) => {}
+        }
+        Poll::Ready(frame)
+    }
+}
+
+impl Drop for Tail {
+    fn drop(&mut self) {
+        self.end(false);
+    }
+}
+
+impl Body for Payload {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(tail) => tail.poll(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.is_none(),
+            Self::Stream(tail) => tail.first.is_empty() && tail.rest.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Self::Stream(tail) => tail.size_hint(),
+        }
+    }
+}
+
+impl Tail {
+    fn size_hint(&self) -> SizeHint {
+        let first: u64 = self.first.iter().map(|chunk| chunk.len() as u64).sum();
+        let rest = self.rest.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(first + rest.lower());
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(first + upper);
+        }
+        hint
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/connection/peer.rs
@@ -0,0 +1,138 @@
+//! Links to other nodes: one HTTP/2 connection to each, found silent by pings.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_node::process::Clock;
+use rhubarblanding_node::process::parking::{Mutex, lock};
+use strum::Display;
+use tokio::net::TcpStream;
+
+use super::socket;
+
+/// Longest time that opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after a failed connect during which no other is tried to the same node.
+const UNREACHABLE_HOLD: Duration = Duration::from_millis(200);
+/// Time without a frame after which a node with open requests is pinged.
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+/// Time that a node has to answer a ping before its connection counts as silent.
+const PING_TIMEOUT: Duration = Duration::from_millis(700);
+/// Flow control window of one request, in bytes.
+const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
+/// Flow control window of one connection, in bytes: many slow readers must not hold up others.
+const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
+/// Requests reset by this side that a connection remembers: callers that leave cause many.
+const RESETS_REMEMBERED: usize = 4_096;
+
+/// Why another node gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum PeerError {
+    /// Nothing was sent.
+    NotSent,
+    /// The connection broke after the request may have been sent.
+    Lost,
+}
+
+type Sender = http2::SendRequest<Full<Bytes>>;
+
+#[derive(Debug, Default)]
+struct Link {
+    sender: tokio::sync::Mutex<Option<Sender>>,
+    unreachable_until: Mutex<MonoTime>,
+}
+
+/// Links to all nodes.
+#[derive(Debug)]
+pub struct PeerPool {
+    clock: Clock,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+}
+
+impl PeerPool {
+    /// Creates a pool without connections.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            links: Mutex::default(),
+        }
+    }
+
+    /// Sends a request to `peer` and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// See [`PeerError`].
+    pub async fn send(
+        &self,
+        peer: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, PeerError> {
+        let mut sender = self.sender(peer).await?;
+        sender.ready().await.map_err(|_| PeerError::NotSent)?;
+        sender.send_request(req).await.map_err(|e| {
+            if e.is_canceled() {
+                PeerError::NotSent
+            } else {
+                PeerError::Lost
+            }
+        })
+    }
+
+    /// Closes the connection to `peer`, for a node that has gone.
+    pub fn forget(&self, peer: SocketAddr) {
+        lock(&self.links).remove(&peer);
+    }
+
+    async fn sender(&self, peer: SocketAddr) -> Result<Sender, PeerError> {
+        let link = Arc::clone(lock(&self.links).entry(peer).or_default());
+        let mut slot = link.sender.lock().await;
+        if let Some(sender) = slot.as_ref().filter(|sender| !sender.is_closed()) {
+            return Ok(sender.clone());
+        }
+        if self.clock.now() < *lock(&link.unreachable_until) {
+            return Err(PeerError::NotSent);
+        }
+        match connect(peer).await {
+            Some(sender) => {
+                *slot = Some(sender.clone());
+                Ok(sender)
+            }
+            None => {
+                *slot = None;
+                *lock(&link.unreachable_until) = self.clock.now() + UNREACHABLE_HOLD;
+                Err(PeerError::NotSent)
+            }
+        }
+    }
+}
+
+async fn connect(peer: SocketAddr) -> Option<Sender> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer));
+    let stream = connecting.await.ok()?.ok()?;
+    socket::prepare(&stream);
+    let handshake = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_concurrent_reset_streams(RESETS_REMEMBERED)
+        .handshake(TokioIo::new(stream));
+    let (sender, conn) = handshake.await.ok()?;
+    tokio::spawn(async move {
+        if let Err(e) = conn.await {
+            log::info!(peer:% = peer, reason:% = e; "peer_connection_lost");
+        }
+    });
+    Some(sender)
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/connection/server.rs
@@ -0,0 +1,171 @@
+//! Servers for clients (HTTP/1.1) and for other nodes (HTTP/2).
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::{http1, http2};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::{Payload, socket};
+use rhubarblanding_node::process::parking::{Mutex, lock};
+
+/// Wait after a failed accept, which mostly means that file descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// New connections that may wait to be accepted: many clients come back at once after a fault.
+const BACKLOG: i32 = 1_024;
+/// Greatest number of requests that a node may have open at a time on one connection.
+const STREAMS_MAX: u32 = 8_192;
+/// Flow control window of one request, in bytes.
+const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
+/// Flow control window of one connection, in bytes.
+const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
+/// Requests that a node may reset before they were taken: callers that leave cause many at once.
+const RESETS_PENDING_MAX: usize = 4_096;
+
+/// Future of one answer.
+pub type ResponseFuture = Pin<Box<dyn Future<Output = Response<Payload>> + Send>>;
+
+/// Handler of a server: takes a request with the address of its sender.
+pub type Handler = Arc<dyn Fn(Request<Incoming>, SocketAddr) -> ResponseFuture + Send + Sync>;
+
+/// Opens a listening socket.
+///
+/// # Errors
+///
+/// Fails as the operating system does, for example if the address is in use.
+pub fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Limits of client connections, which a new configuration may change.
+#[derive(Clone, Copy, Debug)]
+struct ClientConnLimits {
+    head_bytes: usize,
+    idle: Duration,
+}
+
+/// Server for clients and the local target.
+pub struct ClientServer {
+    limits: Mutex<ClientConnLimits>,
+    handler: Handler,
+}
+
+impl ClientServer {
+    /// Creates a server that answers with `handler`.
+    pub fn new(handler: Handler) -> Self {
+        let limits = ClientConnLimits {
+            head_bytes: 64 * 1024,
+            idle: Duration::from_secs(30),
+        };
+        Self {
+            limits: Mutex::new(limits),
+            handler,
+        }
+    }
+
+    /// Takes over limits for connections that are opened from now on.
+    pub fn set_limits(&self, head_bytes: usize, idle: Duration) {
+        // The parser needs some room beyond the head itself.
+        let head_bytes = (head_bytes + 8 * 1024).max(16 * 1024);
+        *lock(&self.limits) = ClientConnLimits { head_bytes, idle };
+    }
+
+    /// Accepts connections until `stop` is set. Open connections are served on.
+    pub async fn serve(self: Arc<Self>, tcp: TcpListener, mut stop: watch::Receiver<bool>) {
+        while let Some((stream, addr)) = accept(&tcp, &mut stop).await {
+            let server = Arc::clone(&self);
+            tokio::spawn(async move { server.serve_connection(stream, addr).await });
+        }
+    }
+
+    async fn serve_connection(&self, stream: TcpStream, addr: SocketAddr) {
+        let limits = *lock(&self.limits);
+        let handler = Arc::clone(&self.handler);
+        let service = service_fn(move |req| {
+            let answer = handler(req, addr);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let result = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.idle)
+            .max_buf_size(limits.head_bytes)
+            .serve_connection(TokioIo::new(stream), service)
+            .await;
+        if let Err(e) = result {
+            log::debug!(client:% = addr, reason:% = e; "client_connection_ended");
+        }
+    }
+}
+
+/// Server for other nodes.
+pub struct PeerServer {
+    handler: Handler,
+}
+
+impl PeerServer {
+    /// Creates a server that answers with `handler`.
+    pub fn new(handler: Handler) -> Self {
+        Self { handler }
+    }
+
+    /// Accepts connections until `stop` is set. Open connections are served on.
+    pub async fn serve(self, tcp: TcpListener, mut stop: watch::Receiver<bool>) {
+        while let Some((stream, addr)) = accept(&tcp, &mut stop).await {
+            let handler = Arc::clone(&self.handler);
+            let service = service_fn(move |req| {
+                let answer = handler(req, addr);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let conn = http2::Builder::new(TokioExecutor::new())
+                .timer(TokioTimer::new())
+                .max_concurrent_streams(STREAMS_MAX)
+                .initial_stream_window_size(STREAM_WINDOW_BYTES)
+                .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+                .max_pending_accept_reset_streams(RESETS_PENDING_MAX)
+                .max_local_error_reset_streams(None)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(async move {
+                // The node at the other end notices by itself.
+                let _ = conn.await;
+            });
+        }
+    }
+}
+
+async fn accept(
+    tcp: &TcpListener,
+    stop: &mut watch::Receiver<bool>,
+) -> Option<(TcpStream, SocketAddr)> {
+    loop {
+        let accepted = tokio::select! {
+            accepted = tcp.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => return None,
+        };
+        match accepted {
+            Ok((stream, addr)) => {
+                socket::prepare(&stream);
+                return Some((stream, addr));
+            }
+            Err(e) => {
+                log::warn!(reason:% = e; "accept_failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/configuration.rs
@@ -0,0 +1,75 @@
+//! Following the operators' configuration, from the key-value service and from other nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_membership::prelude::{Document, Input};
+use rhubarblanding_store::backoff::BackoffSettings;
+use rhubarblanding_store::watch::{WatchEvent, WatchLoop, WatchSettings};
+
+use super::shared::Shared;
+use crate::version::Version;
+
+/// Time that one watch waits at the service. Each one counts as a call; connections that go
+/// silent are found by the kernel's probes.
+const WATCH_WAIT: Duration = Duration::from_secs(15);
+/// Longest pause between attempts while the service fails: a configuration has to be in force
+/// within two seconds of the service's return.
+const RETRY_MAX: Duration = Duration::from_millis(800);
+
+/// Follows the configuration; runs for as long as the process.
+pub async fn follow(node: Arc<Shared>) {
+    let settings = WatchSettings {
+        wait: WATCH_WAIT,
+        backoff: BackoffSettings {
+            first: Duration::from_millis(50),
+            max: RETRY_MAX,
+        },
+    };
+    let key = node.dialect.configuration_key();
+    let seed = rand::rng().random();
+    let mut watch = WatchLoop::new(node.store.clone(), key, settings, seed);
+    loop {
+        match watch.next().await {
+            WatchEvent::Changed(new) => from_store(&node, &new.value),
+            WatchEvent::Removed(revision) => {
+                log::warn!(revision = revision.0; "configuration_removed");
+            }
+        }
+    }
+}
+
+fn from_store(node: &Shared, value: &[u8]) {
+    if let Some(number) = adopt(node, value, "store")
+        && let Ok(text) = std::str::from_utf8(value)
+    {
+        node.member_input(Input::Document(Document::whole(number, text.to_owned())));
+    }
+}
+
+/// Takes in the configuration that a peer holds.
+pub fn from_peer(node: &Shared, document: Document) {
+    for body in document.parts.into_iter().filter_map(|part| part.body) {
+        adopt(node, body.as_bytes(), "peer");
+    }
+}
+
+fn adopt(node: &Shared, value: &[u8], source: &str) -> Option<DocVersion> {
+    let configuration = match node.dialect.configuration(value) {
+        Ok(configuration) => configuration,
+        Err(e) => {
+            log::warn!(source = source, field = e.field, reason = e.reason; "configuration_invalid");
+            return None;
+        }
+    };
+    let number = configuration.version;
+    let routes = configuration.routes.len();
+    let version = Version::new(configuration, &mut SmallRng::from_os_rng());
+    if node.adopt(version) {
+        log::info!(version = number.0, source = source, routes = routes; "configuration_adopted");
+    }
+    Some(number)
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/control.rs
@@ -0,0 +1,127 @@
+//! Calls of the local target and questions of the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::sync::watch;
+
+use super::instance::{LeaveVerdict, ReportVerdict};
+use super::registration;
+use super::shared::Shared;
+use crate::connection::Payload;
+use crate::dialect::{ControlCall, ControlReply, InstanceLeave, InstanceLife, InstanceReport};
+
+/// Greatest size of a call of the target, in bytes.
+const CALL_MAX_BYTES: usize = 64 * 1024;
+/// Time for recording that a life left. The target waits a second for the acknowledgement.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Answers a call of the local target.
+pub async fn handle_control(
+    node: Arc<Shared>,
+    mut trusted: watch::Receiver<bool>,
+    req: Request<Incoming>,
+    _: SocketAddr,
+) -> Response<Payload> {
+    let (parts, body) = req.into_parts();
+    let body = match Limited::new(body, CALL_MAX_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => {
+            log::info!(reason:% = e; "control_call_cut");
+            return reply(
+                node.dialect
+                    .reject(StatusCode::BAD_REQUEST, "body not read"),
+            );
+        }
+    };
+    let call = match node
+        .dialect
+        .control_call(&parts.method, parts.uri.path(), &body)
+    {
+        Ok(call) => call,
+        Err(e) => {
+            log::warn!(field = e.field, reason = e.reason; "control_call_invalid");
+            return reply(node.dialect.reject(StatusCode::BAD_REQUEST, &e.to_string()));
+        }
+    };
+    // Until it is known which lives left before, a late report could revive one of them.
+    if trusted.wait_for(|trusted| *trusted).await.is_err() {
+        return reply(
+            node.dialect
+                .reject(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+        );
+    }
+    match call {
+        ControlCall::Report(report) => on_report(&node, &report).await,
+        ControlCall::Leave(leave) => on_leave(&node, &leave).await,
+    }
+    reply(node.dialect.acknowledge())
+}
+
+async fn on_report(node: &Shared, report: &InstanceReport) {
+    let verdict = node.local.report(node, report);
+    if verdict != ReportVerdict::Unchanged {
+        log::info!(
+            instance:% = report.life.id, born = report.life.born.0, sequence = report.sequence,
+            state:% = report.state, service:% = report.service, slots = report.slots,
+            verdict:% = verdict;
+            "target_reported"
+        );
+    }
+    node.announce();
+    if verdict == ReportVerdict::BeganDraining {
+        record(node, &report.life).await;
+    }
+}
+
+async fn on_leave(node: &Shared, leave: &InstanceLeave) {
+    let verdict = node.local.leave(node, leave);
+    log::info!(instance:% = leave.id, known = verdict != LeaveVerdict::Unknown; "target_left");
+    node.announce();
+    if let LeaveVerdict::Left(life) = verdict {
+        record(node, &life).await;
+    }
+}
+
+/// Keeps it beyond the end of this process that a life left.
+async fn record(node: &Shared, life: &InstanceLife) {
+    let recording = registration::record_departed(node, life);
+    let reason = match tokio::time::timeout(RECORD_TIMEOUT, recording).await {
+        Ok(Ok(())) => return,
+        Ok(Err(report)) => report.current_context().to_string(),
+        Err(_) => "no answer in time".to_owned(),
+    };
+    log::warn!(instance:% = life.id, born = life.born.0, reason = reason; "departure_not_recorded");
+}
+
+fn reply(reply: ControlReply) -> Response<Payload> {
+    let mut resp = Response::new(Payload::whole(reply.body));
+    *resp.status_mut() = reply.status;
+    let content_type = HeaderValue::from_static(reply.content_type);
+    resp.headers_mut().insert(CONTENT_TYPE, content_type);
+    resp
+}
+
+/// Says whether this node takes clients.
+pub async fn handle_ready(node: Arc<Shared>, settled: watch::Receiver<bool>) -> Response<Payload> {
+    let ready = node.version().is_some() && !node.is_stopping() && *settled.borrow();
+    let mut resp = Response::new(Payload::empty());
+    if !ready {
+        *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    resp
+}
+
+/// Writes counters and histograms.
+pub async fn handle_metrics(node: Arc<Shared>) -> Response<Payload> {
+    let mut resp = Response::new(Payload::whole(node.metrics.text().into()));
+    let content_type =
+        HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
+    resp.headers_mut().insert(CONTENT_TYPE, content_type);
+    resp
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/events.rs
@@ -0,0 +1,97 @@
+//! Log lines about requests.
+
+use std::time::Duration;
+
+use http::{HeaderValue, StatusCode};
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_routing::prelude::TargetId;
+
+use super::shared::Shared;
+
+/// Where a request ended without an answer of a target.
+#[derive(Clone, Copy, Debug)]
+pub enum Ending<'a> {
+    /// Before a service was chosen.
+    AtEntry,
+    /// After targets of a service were considered.
+    After {
+        /// Service that was to run it.
+        service: &'a ServiceName,
+        /// Version of the configuration that decided.
+        version: DocVersion,
+        /// Number of targets asked.
+        tried: usize,
+        /// Time since it arrived.
+        waited: Duration,
+    },
+}
+
+fn text(id: Option<&HeaderValue>) -> &str {
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
+
+impl Shared {
+    /// Logs and counts an answer of the system itself.
+    pub fn log_refusal(&self, id: Option<&HeaderValue>, refusal: Refusal, ending: Ending<'_>) {
+        self.metrics.refused(refusal.kind);
+        let id = text(id);
+        let kind = refusal.kind;
+        let retry_ms = refusal
+            .retry_after
+            .map_or(0, |after| after.as_millis() as u64);
+        match ending {
+            Ending::AtEntry => {
+                let version = self.version().map_or(0, |version| version.number().0);
+                log::info!(id = id, reason:% = kind, version = version; "refused_at_entry");
+            }
+            Ending::After {
+                service,
+                version,
+                tried,
+                waited,
+            } => log::info!(
+                id = id, reason:% = kind, retry_ms = retry_ms, service:% = service,
+                version = version.0, tried = tried, waited_us = waited.as_micros() as u64,
+                known_targets = self.targets.len(service);
+                "refused"
+            ),
+        }
+    }
+
+    /// Logs and counts an answer of a target.
+    pub fn log_answer(
+        &self,
+        id: &HeaderValue,
+        service: &ServiceName,
+        target: TargetId,
+        status: StatusCode,
+        began: MonoTime,
+    ) {
+        let took = self.clock.now().since(began);
+        self.metrics.answered(status, took);
+        if status.is_success() {
+            log::debug!(
+                id = text(Some(id)), service:% = service, host:% = target.host,
+                status = status.as_u16(), took_us = took.as_micros() as u64;
+                "answered"
+            );
+            return;
+        }
+        log::info!(
+            id = text(Some(id)), service:% = service, host:% = target.host,
+            status = status.as_u16(), took_us = took.as_micros() as u64;
+            "answered_with_failure"
+        );
+    }
+
+    /// Logs and counts a request that brought no usable answer of the local target.
+    pub fn log_target_failure(&self, id: Option<&HeaderValue>, reason: &str) {
+        self.metrics.target_failed();
+        let load = self.local.load();
+        log::info!(
+            id = text(id), reason = reason, running = load.in_flight, queued = load.queued,
+            limit = load.limit;
+            "target_failed"
+        );
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/instance.rs
@@ -0,0 +1,153 @@
+//! Which life of the local target takes requests, decided from what it reports.
+
+use std::collections::BTreeSet;
+
+use rhubarblanding_core::prelude::*;
+use strum::Display;
+
+use crate::dialect::{InstanceLeave, InstanceLife, InstanceReport, ReportedState};
+
+/// What a report changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum ReportVerdict {
+    /// A life that was not known takes requests from now on.
+    NewLife,
+    /// The life takes requests as before.
+    Unchanged,
+    /// The life began to drain.
+    BeganDraining,
+    /// The report is older than one that is known, or repeats it.
+    Stale,
+    /// The life had left before.
+    Departed,
+    /// The report is of another service than that of this host.
+    OtherService,
+}
+
+/// What a message of leaving changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaveVerdict {
+    /// This life has left.
+    Left(InstanceLife),
+    /// The message is of a life that is not known.
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+struct Current {
+    life: InstanceLife,
+    sequence: u64,
+    slots: u32,
+    draining: bool,
+}
+
+/// Tracks the lives of the local target.
+///
+/// Lives are ordered by their start and reports of one life by their number, so that late and
+/// repeated reports change nothing. A life that drains or has left never takes requests again.
+#[derive(Clone, Debug, Default)]
+pub struct InstanceTracker {
+    current: Option<Current>,
+    departed: BTreeSet<InstanceLife>,
+    heard_at: MonoTime,
+}
+
+impl InstanceTracker {
+    /// Takes in a report.
+    pub fn report(
+        &mut self,
+        now: MonoTime,
+        service: &ServiceName,
+        report: &InstanceReport,
+    ) -> ReportVerdict {
+        if report.service != *service {
+            return ReportVerdict::OtherService;
+        }
+        if self.departed.contains(&report.life) {
+            return ReportVerdict::Departed;
+        }
+        let is_draining = report.state == ReportedState::Draining;
+        let verdict = match &self.current {
+            Some(known) if report.life.born < known.life.born => return ReportVerdict::Stale,
+            Some(known) if report.life == known.life => {
+                if report.sequence <= known.sequence {
+                    return ReportVerdict::Stale;
+                }
+                match (known.draining, is_draining) {
+                    (false, true) => ReportVerdict::BeganDraining,
+                    _ => ReportVerdict::Unchanged,
+                }
+            }
+            _ if is_draining => ReportVerdict::BeganDraining,
+            _ => ReportVerdict::NewLife,
+        };
+        let same_life = self.current.as_ref().is_some_and(|c| c.life == report.life);
+        let was_draining = same_life && self.is_draining();
+        self.current = Some(Current {
+            life: report.life.clone(),
+            sequence: report.sequence,
+            slots: report.slots,
+            draining: is_draining || was_draining,
+        });
+        self.heard_at = now;
+        verdict
+    }
+
+    /// Takes in a message of leaving.
+    pub fn leave(&mut self, leave: &InstanceLeave) -> LeaveVerdict {
+        let known = self
+            .current
+            .as_ref()
+            .filter(|known| known.life.id == leave.id);
+        let known = known.filter(|known| leave.born.is_none_or(|born| born == known.life.born));
+        let life = match (known, leave.born) {
+            (Some(known), _) => known.life.clone(),
+            (None, Some(born)) => InstanceLife {
+                born,
+                id: leave.id.clone(),
+            },
+            (None, None) => return LeaveVerdict::Unknown,
+        };
+        self.depart(life.clone());
+        LeaveVerdict::Left(life)
+    }
+
+    /// Notes a life that left, perhaps before this process started.
+    pub fn depart(&mut self, life: InstanceLife) {
+        if self
+            .current
+            .as_ref()
+            .is_some_and(|known| known.life == life)
+        {
+            self.current = None;
+        }
+        self.departed.insert(life);
+    }
+
+    /// Forgets a life that does not answer at its address any more.
+    pub fn forget(&mut self) {
+        self.current = None;
+    }
+
+    /// The life that takes requests.
+    pub fn serving(&self) -> Option<&InstanceLife> {
+        let known = self.current.as_ref().filter(|known| !known.draining);
+        known.map(|known| &known.life)
+    }
+
+    /// Whether the known life drains.
+    pub fn is_draining(&self) -> bool {
+        self.current.as_ref().is_some_and(|known| known.draining)
+    }
+
+    /// Requests that the known life runs at a time.
+    pub fn slots(&self) -> u32 {
+        self.current.as_ref().map_or(0, |known| known.slots)
+    }
+
+    /// Time of the last report that was taken.
+    pub fn heard_at(&self) -> MonoTime {
+        self.heard_at
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -0,0 +1,333 @@
+//! The local target: which life of it takes requests, and the gate in front of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use rhubarblanding_admission::slots::{
+    SlotArrival, SlotDecision, SlotGate, SlotSettings, SlotVerdict,
+};
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_node::process::parking::{Mutex, lock};
+use tokio::sync::{Notify, oneshot};
+
+use super::instance::{InstanceTracker, LeaveVerdict, ReportVerdict};
+use super::shared::Shared;
+use crate::dialect::{InstanceId, InstanceLeave, InstanceLife, InstanceReport};
+use crate::request::HopHeader;
+
+/// Time after a refused connection during which the target is taken to be down.
+const UNREACHABLE_HOLD: Duration = Duration::from_millis(250);
+
+type Verdict = Result<(), Refusal>;
+
+struct State {
+    tracker: InstanceTracker,
+    gate: SlotGate,
+    waiting: HashMap<u64, oneshot::Sender<Verdict>>,
+    next_id: u64,
+    unreachable_until: MonoTime,
+}
+
+/// The local target.
+pub struct LocalTarget {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+/// The right to have one request at the target. Dropping it frees the slot.
+pub struct SlotPermit {
+    slot: Option<Slot>,
+    instance: InstanceId,
+}
+
+struct Slot {
+    node: Arc<Shared>,
+    id: u64,
+    answered: bool,
+}
+
+impl SlotPermit {
+    /// Instance that the request is meant for.
+    pub fn instance(&self) -> &InstanceId {
+        &self.instance
+    }
+
+    /// Notes that the target answered with `status`.
+    pub fn answered(&mut self, status: StatusCode) {
+        if let Some(slot) = &mut self.slot {
+            slot.answered = status.is_success();
+        }
+    }
+
+    /// Moves the right to what passes the rest of the answer on.
+    pub fn take(&mut self) -> Option<Self> {
+        Some(Self {
+            slot: Some(self.slot.take()?),
+            instance: self.instance.clone(),
+        })
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.node.local.release(&self.node, self.id, self.answered);
+    }
+}
+
+/// Takes a waiting request out of the queue if its sender gives up.
+struct WaitGuard<'a> {
+    node: &'a Arc<Shared>,
+    id: u64,
+    armed: bool,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            self.node.local.cancel(self.node, self.id);
+        }
+    }
+}
+
+impl LocalTarget {
+    /// A target of which nothing is known.
+    pub fn new(settings: SlotSettings) -> Self {
+        let state = State {
+            tracker: InstanceTracker::default(),
+            gate: SlotGate::new(settings),
+            waiting: HashMap::default(),
+            next_id: 0,
+            unreachable_until: MonoTime::ZERO,
+        };
+        Self {
+            state: Mutex::new(state),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Waits for the right to send one request to the target.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the refusal for the sender; the request was not sent.
+    pub async fn acquire(
+        &self,
+        node: &Arc<Shared>,
+        header: &HopHeader,
+        objective: MonoTime,
+        deadline: MonoTime,
+    ) -> Result<SlotPermit, Refusal> {
+        let now = node.clock.now();
+        let (id, verdict) = {
+            let mut state = lock(&self.state);
+            state.check(now, node, &header.service)?;
+            state.next_id += 1;
+            let id = state.next_id;
+            let arrival = SlotArrival {
+                id,
+                rank: header.rank,
+                kind: header.kind,
+                objective,
+                deadline,
+            };
+            match state.gate.arrive(now, arrival) {
+                SlotDecision::Admitted => (id, None),
+                SlotDecision::Refused(refusal) => return Err(refusal),
+                SlotDecision::Queued => {
+                    let (tx, rx) = oneshot::channel();
+                    state.waiting.insert(id, tx);
+                    (id, Some(rx))
+                }
+            }
+        };
+        if let Some(verdict) = verdict {
+            self.changed.notify_one();
+            let mut guard = WaitGuard {
+                node,
+                id,
+                armed: true,
+            };
+            let verdict = verdict.await;
+            guard.armed = false;
+            verdict.unwrap_or(Err(Refusal::new(ErrorKind::Internal)))?;
+        }
+        self.permit(node, id)
+    }
+
+    /// The target may have begun to leave while the request waited.
+    fn permit(&self, node: &Arc<Shared>, id: u64) -> Result<SlotPermit, Refusal> {
+        let slot = Slot {
+            node: Arc::clone(node),
+            id,
+            answered: false,
+        };
+        let instance = lock(&self.state)
+            .tracker
+            .serving()
+            .map(|life| life.id.clone());
+        let Some(instance) = instance else {
+            return Err(Refusal::new(ErrorKind::TargetDraining));
+        };
+        Ok(SlotPermit {
+            slot: Some(slot),
+            instance,
+        })
+    }
+
+    /// Load that is told to other nodes.
+    pub fn load(&self) -> LoadReport {
+        let state = lock(&self.state);
+        let load = state.gate.load();
+        LoadReport {
+            in_flight: load.running,
+            queued: load.queued,
+            limit: load.limit,
+            ..LoadReport::default()
+        }
+    }
+
+    /// State that is announced to other nodes.
+    pub fn announcement(&self) -> (TargetState, u32) {
+        let state = lock(&self.state);
+        // Another life may follow on this host, and what is announced as draining never serves
+        // again before its node is started anew.
+        let phase = match state.tracker.serving() {
+            Some(_) => TargetState::Serving,
+            None => TargetState::Starting,
+        };
+        (phase, state.tracker.slots())
+    }
+
+    /// Takes in a report of the target.
+    pub fn report(&self, node: &Shared, report: &InstanceReport) -> ReportVerdict {
+        let now = node.clock.now();
+        let service = node.settings().service.clone();
+        let mut state = lock(&self.state);
+        let verdict = state.tracker.report(now, &service, report);
+        match verdict {
+            ReportVerdict::NewLife => {
+                state.unreachable_until = MonoTime::ZERO;
+                state.gate.restart();
+                node.backend.clear();
+                state.gate.set_slots(now, report.slots);
+            }
+            ReportVerdict::Unchanged => state.gate.set_slots(now, report.slots),
+            ReportVerdict::BeganDraining => state.refuse_waiting(),
+            ReportVerdict::Stale | ReportVerdict::Departed | ReportVerdict::OtherService => {}
+        }
+        state.dispatch(now);
+        verdict
+    }
+
+    /// Takes in a message that the target leaves.
+    pub fn leave(&self, node: &Shared, leave: &InstanceLeave) -> LeaveVerdict {
+        let now = node.clock.now();
+        let mut state = lock(&self.state);
+        let verdict = state.tracker.leave(leave);
+        if state.tracker.serving().is_none() {
+            state.refuse_waiting();
+        }
+        state.dispatch(now);
+        verdict
+    }
+
+    /// Notes a life that left before this process started.
+    pub fn depart(&self, life: InstanceLife) {
+        lock(&self.state).tracker.depart(life);
+    }
+
+    /// Life that takes requests at present.
+    pub fn serving(&self) -> Option<InstanceLife> {
+        lock(&self.state).tracker.serving().cloned()
+    }
+
+    /// Notes that the target does not take connections.
+    pub fn note_unreachable(&self, node: &Shared) {
+        let mut state = lock(&self.state);
+        state.unreachable_until = node.clock.now() + UNREACHABLE_HOLD;
+        state.refuse_waiting();
+    }
+
+    /// Notes that another instance answers at the target's address.
+    pub fn note_misdirected(&self, node: &Shared, instance: &InstanceId) {
+        let mut state = lock(&self.state);
+        if state
+            .tracker
+            .serving()
+            .is_some_and(|life| life.id == *instance)
+        {
+            log::warn!(instance:% = instance; "target_is_another_instance");
+            state.tracker.forget();
+            state.refuse_waiting();
+        }
+        state.dispatch(node.clock.now());
+    }
+
+    /// Sleeps until a queued request has to be decided on; runs for as long as the process.
+    pub async fn run_timers(&self, node: &Shared) {
+        loop {
+            let due = lock(&self.state).gate.next_due();
+            match due {
+                None => self.changed.notified().await,
+                Some(due) => {
+                    let sleep = tokio::time::sleep_until(node.clock.instant(due));
+                    tokio::select! {
+                        () = sleep => {}
+                        () = self.changed.notified() => {}
+                    }
+                    lock(&self.state).dispatch(node.clock.now());
+                }
+            }
+        }
+    }
+
+    fn release(&self, node: &Shared, id: u64, answered: bool) {
+        let now = node.clock.now();
+        let mut state = lock(&self.state);
+        state.gate.finished(now, id, answered);
+        state.dispatch(now);
+    }
+
+    fn cancel(&self, node: &Shared, id: u64) {
+        let now = node.clock.now();
+        let mut state = lock(&self.state);
+        state.waiting.remove(&id);
+        state.gate.cancelled(now, id);
+        state.dispatch(now);
+    }
+}
+
+impl State {
+    fn check(&self, now: MonoTime, node: &Shared, service: &ServiceName) -> Result<(), Refusal> {
+        if node.settings().service != *service {
+            return Err(Refusal::new(ErrorKind::UnknownService));
+        }
+        if self.tracker.serving().is_none() {
+            return Err(Refusal::new(ErrorKind::TargetDraining));
+        }
+        if now < self.unreachable_until {
+            return Err(Refusal::new(ErrorKind::ConnectFailed));
+        }
+        Ok(())
+    }
+
+    fn refuse_waiting(&mut self) {
+        self.gate.refuse_waiting(ErrorKind::TargetDraining);
+    }
+
+    /// Hands decisions to the requests that wait for them.
+    fn dispatch(&mut self, now: MonoTime) {
+        for verdict in self.gate.poll(now) {
+            let (id, verdict) = match verdict {
+                SlotVerdict::Admitted(id) => (id, Ok(())),
+                SlotVerdict::Refused(id, refusal) => (id, Err(refusal)),
+            };
+            let waiter = self.waiting.remove(&id);
+            // A sender that has given up has cancelled its request already.
+            if waiter.is_none_or(|waiter| waiter.send(verdict).is_err()) {
+                self.gate.cancelled(now, id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/member.rs
@@ -0,0 +1,107 @@
+//! Loops of the membership: ticks, messages to other nodes, and what it reports.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Uri};
+use http_body_util::Full;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_membership::prelude::Input;
+use rhubarblanding_membership::prelude::{Event, GossipMessage, Output};
+use tokio::sync::mpsc;
+
+use super::configuration;
+use super::shared::Shared;
+use crate::request::GOSSIP_PATH;
+
+/// Longest sleep of the loop that ticks the membership.
+const TICK_MAX: Duration = Duration::from_millis(500);
+/// Shortest sleep of the loop that ticks the membership.
+const TICK_MIN: Duration = Duration::from_millis(5);
+/// Time after which a message counts as lost.
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Ticks the membership whenever it is due; runs for as long as the process.
+pub async fn tick(node: Arc<Shared>) {
+    loop {
+        node.member_input(Input::Tick);
+        let due = node.with_member(|member| member.next_due());
+        let now = node.clock.now();
+        let sleep = due.map_or(TICK_MAX, |due| now.until(due));
+        tokio::time::sleep(sleep.clamp(TICK_MIN, TICK_MAX)).await;
+    }
+}
+
+/// Carries out what the membership decides; runs for as long as the process.
+pub async fn carry_out(node: Arc<Shared>, mut outputs: mpsc::UnboundedReceiver<Output>) {
+    while let Some(output) = outputs.recv().await {
+        match output {
+            Output::Send { to, msg } => send(&node, to, &msg),
+            Output::Event(event) => on_event(&node, event),
+        }
+    }
+}
+
+fn send(node: &Arc<Shared>, to: HostId, msg: &GossipMessage) {
+    let body = match serde_json::to_vec(msg) {
+        Ok(body) => Bytes::from(body),
+        Err(e) => return log::warn!(reason:% = e; "gossip_not_encoded"),
+    };
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(to.to_string())
+        .path_and_query(GOSSIP_PATH)
+        .build();
+    let Ok(uri) = uri else {
+        return log::warn!(host:% = to; "gossip_address_invalid");
+    };
+    let mut req = Request::new(Full::new(body));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = uri;
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        // A lost message is made good by later ones.
+        let _ = tokio::time::timeout(SEND_TIMEOUT, node.peers.send(to.0, req)).await;
+    });
+}
+
+fn on_event(node: &Arc<Shared>, event: Event) {
+    match event {
+        Event::TargetUp { info, health } => {
+            log::info!(
+                host:% = info.host, service:% = info.service, state:% = info.state,
+                slots = info.slots, incarnation = info.incarnation.0, health:% = health;
+                "target_up"
+            );
+            node.targets.upsert(info);
+        }
+        Event::TargetChanged { info, health } => {
+            log::info!(
+                host:% = info.host, service:% = info.service, state:% = info.state,
+                slots = info.slots, incarnation = info.incarnation.0, health:% = health;
+                "target_changed"
+            );
+            node.targets.upsert(info);
+        }
+        Event::TargetDown {
+            host,
+            incarnation,
+            service,
+        } => {
+            log::info!(
+                host:% = host, service:% = service, incarnation = incarnation.0;
+                "target_down"
+            );
+            node.targets.remove(&service, host);
+        }
+        Event::NewerDocument { version, from } => {
+            log::info!(version = version.0, host:% = from; "configuration_newer_at_peer");
+        }
+        Event::DocumentReceived(document) => configuration::from_peer(node, document),
+        Event::WatchStore(_) => {}
+        Event::IncarnationRaised(incarnation) => {
+            log::warn!(incarnation = incarnation.0; "declared_down_while_alive");
+        }
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/metrics.rs
@@ -0,0 +1,116 @@
+//! Counters and histograms of a process, and their text form.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use rhubarblanding_core::prelude::*;
+use strum::IntoEnumIterator;
+
+/// Upper bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
+];
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct StatusLabel {
+    status: u16,
+}
+
+/// Counters and histograms of one process.
+pub struct Metrics {
+    registry: Registry,
+    refusals: Vec<Counter>,
+    answers: Family<StatusLabel, Counter>,
+    latency: Histogram,
+    target_failures: Counter,
+    retries: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("rhubarblanding");
+        let reasons = Family::<ReasonLabel, Counter>::default();
+        let refusals = ErrorKind::iter()
+            .map(|kind| {
+                let reason = kind.into();
+                reasons.get_or_create(&ReasonLabel { reason }).clone()
+            })
+            .collect();
+        let answers = Family::default();
+        let latency = Histogram::new(LATENCY_BOUNDS);
+        let target_failures = Counter::default();
+        let retries = Counter::default();
+        registry.register(
+            "refusals",
+            "Requests that the system itself answered",
+            reasons,
+        );
+        registry.register("answers", "Answers of targets by status", answers.clone());
+        registry.register(
+            "answer_seconds",
+            "Time from the arrival of a request to the answer of a target",
+            latency.clone(),
+        );
+        let help = "Requests that brought no usable answer of the local target";
+        registry.register("target_failures", help, target_failures.clone());
+        registry.register(
+            "retries",
+            "Requests sent to a second target",
+            retries.clone(),
+        );
+        Self {
+            registry,
+            refusals,
+            answers,
+            latency,
+            target_failures,
+            retries,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts an answer of the system itself.
+    pub fn refused(&self, kind: ErrorKind) {
+        if let Some(counter) = self.refusals.get(kind as usize) {
+            counter.inc();
+        }
+    }
+
+    /// Counts an answer of a target.
+    pub fn answered(&self, status: StatusCode, took: Duration) {
+        let status = status.as_u16();
+        self.answers.get_or_create(&StatusLabel { status }).inc();
+        self.latency.observe(took.as_secs_f64());
+    }
+
+    /// Counts a request that brought no usable answer of the local target.
+    pub fn target_failed(&self) {
+        self.target_failures.inc();
+    }
+
+    /// Counts a request that is sent to a second target.
+    pub fn retried(&self) {
+        self.retries.inc();
+    }
+
+    /// All values in the OpenMetrics text format.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(e) = encode(&mut text, &self.registry) {
+            log::warn!(reason:% = e; "metrics_not_written");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/mod.rs
@@ -0,0 +1,21 @@
+//! What lives for a process: shared state, the local target, membership, and starting and stopping.
+
+mod configuration;
+mod control;
+mod events;
+mod instance;
+mod local;
+mod member;
+mod mesh;
+mod metrics;
+mod registration;
+mod shared;
+mod targets;
+
+pub use events::Ending;
+pub use instance::{InstanceTracker, LeaveVerdict, ReportVerdict};
+pub use local::{LocalTarget, SlotPermit};
+pub use mesh::{Mesh, StartError};
+pub use metrics::Metrics;
+pub use shared::Shared;
+pub use targets::{Sent, Targets};
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/registration.rs
@@ -0,0 +1,155 @@
+//! What a node keeps in the key-value service: its address, and which lives of its target left.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_membership::prelude::Input;
+use rhubarblanding_store::client::StoreResult;
+use rhubarblanding_store::{CasOutcome, Key, LeaseId, Revision, StoreError};
+use tokio::sync::watch;
+
+use super::shared::Shared;
+use crate::dialect::{InstanceId, InstanceLife};
+
+/// Prefix of the keys that name nodes.
+const NODES: &str = "mesh/nodes/";
+/// Prefix of the keys that name lives of targets that left.
+const DEPARTED: &str = "mesh/departed/";
+/// Time for which the address of a node stays after the node has gone.
+const NODE_TTL: Duration = Duration::from_secs(10);
+/// Time between two renewals: three of them may be lost.
+const RENEW_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Pause after a failed call. Entries that lapsed while the service was away are to be back
+/// within two seconds.
+const RETRY_PAUSE: Duration = Duration::from_millis(600);
+/// Time for which it is kept that a life of a target left. Its late reports arrive seconds later.
+const DEPARTED_TTL: Duration = Duration::from_secs(120);
+
+/// Keeps this node's address in the key-value service; runs for as long as the process.
+///
+/// `listed` is set once the addresses of the other nodes were read.
+pub async fn keep(node: Arc<Shared>, listed: watch::Sender<bool>) {
+    let mut lease = None;
+    loop {
+        let result = match lease {
+            Some(held) => node.store.renew_lease(held, NODE_TTL).await.map(|_| held),
+            None => register(&node).await,
+        };
+        let pause = match result {
+            Ok(held) => {
+                lease = Some(held);
+                if !*listed.borrow() {
+                    list_nodes(&node, &listed).await;
+                }
+                RENEW_INTERVAL
+            }
+            Err(report) => {
+                let e = *report.current_context();
+                log::info!(reason:% = e; "registration_failed");
+                if e == StoreError::LeaseLapsed {
+                    lease = None;
+                }
+                RETRY_PAUSE
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn register(node: &Shared) -> StoreResult<LeaseId> {
+    let lease = node.store.grant_lease(NODE_TTL).await?.id;
+    let key = node_key(node.me());
+    let mut expected = Revision::ABSENT;
+    loop {
+        let put = node
+            .store
+            .compare_and_swap_leased(&key, expected, Bytes::new(), lease);
+        match put.await? {
+            CasOutcome::Stored(_) => return Ok(lease),
+            // The entry of this host's earlier life.
+            CasOutcome::Conflict(revision) => expected = revision,
+        }
+    }
+}
+
+async fn list_nodes(node: &Shared, listed: &watch::Sender<bool>) {
+    match node.store.list(&Key::from_static(NODES)).await {
+        Ok(entries) => {
+            let hosts = entries.iter().filter_map(|entry| {
+                let addr = entry.key.strip_prefix(NODES)?.parse().ok()?;
+                Some(HostId(addr))
+            });
+            let hosts: Vec<HostId> = hosts.collect();
+            log::info!(nodes = hosts.len(); "nodes_listed");
+            node.member_input(Input::Seeds(hosts));
+            listed.send_replace(true);
+        }
+        Err(report) => {
+            log::info!(reason:% = report.current_context(); "nodes_not_listed");
+        }
+    }
+}
+
+/// Reads which lives of the local target left before this process started.
+///
+/// # Errors
+///
+/// Fails as the key-value service does.
+pub async fn read_departed(node: &Shared) -> StoreResult<usize> {
+    let prefix = departed_prefix(node);
+    let Ok(key) = Key::try_from(prefix.as_str()) else {
+        return Ok(0);
+    };
+    let entries = node.store.list(&key).await?;
+    let lives = entries
+        .iter()
+        .filter_map(|e| parse_life(e.key.strip_prefix(&prefix)?));
+    let lives: Vec<InstanceLife> = lives.collect();
+    let count = lives.len();
+    for life in lives {
+        node.local.depart(life);
+    }
+    Ok(count)
+}
+
+/// Records that a life of the local target left.
+///
+/// # Errors
+///
+/// Fails as the key-value service does.
+pub async fn record_departed(node: &Shared, life: &InstanceLife) -> StoreResult<()> {
+    let name: String = life.id.0.bytes().map(|b| format!("{b:02x}")).collect();
+    let text = format!("{}{}/{name}", departed_prefix(node), life.born.0);
+    let Ok(key) = Key::try_from(text.as_str()) else {
+        log::warn!(instance:% = life.id; "departed_instance_has_no_key");
+        return Ok(());
+    };
+    let lease = node.store.grant_lease(DEPARTED_TTL).await?.id;
+    let put = node
+        .store
+        .compare_and_swap_leased(&key, Revision::ABSENT, Bytes::new(), lease);
+    // A conflict means that it was recorded before.
+    put.await.map(|_| ())
+}
+
+fn node_key(host: HostId) -> Key {
+    let text = format!("{NODES}{host}");
+    Key::try_from(text.as_str()).unwrap_or_else(|_| Key::from_static("mesh/nodes/invalid"))
+}
+
+fn departed_prefix(node: &Shared) -> String {
+    format!("{DEPARTED}{}/", node.me())
+}
+
+fn parse_life(rest: &str) -> Option<InstanceLife> {
+    let (born, name) = rest.split_once('/')?;
+    let byte = |i: usize| u8::from_str_radix(name.get(i..i + 2)?, 16).ok();
+    let bytes: Option<Vec<u8>> = (0..name.len()).step_by(2).map(byte).collect();
+    let id = String::from_utf8(bytes?).ok()?;
+    Some(InstanceLife {
+        born: UnixMillis(born.parse().ok()?),
+        id: InstanceId(id.into()),
+    })
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -0,0 +1,280 @@
+//! State that all parts of a process share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rhubarblanding_admission::slots::SlotSettings;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_membership::prelude::{Input, Membership, MembershipSettings, Output, ViewMode};
+use rhubarblanding_node::process::Clock;
+use rhubarblanding_node::process::parking::{Mutex, lock};
+use rhubarblanding_request::budget::{BudgetSettings, BudgetState, RetryBudget};
+use rhubarblanding_routing::prelude::RouterSettings;
+use rhubarblanding_store::StoreClient;
+use tokio::sync::{mpsc, watch};
+
+use super::local::LocalTarget;
+use super::metrics::Metrics;
+use super::targets::Targets;
+use crate::connection::{BackendPool, PeerPool};
+use crate::dialect::Dialect;
+use crate::settings::MeshSettings;
+use crate::version::Version;
+
+/// Retries for a hundred first attempts of one node. A request may pass four services, and a
+/// retry at each of them counts at the last: all of them together stay below a ratio of 0.2.
+const RETRIES_PER_HUNDRED: u32 = 4;
+/// Retries that may follow each other at once. With many nodes each has one at a time.
+const RETRY_BURST: u32 = 2;
+/// Time whose first attempts may be sent again at once.
+const RETRY_BURST_TIME: Duration = Duration::from_millis(100);
+
+struct Member {
+    membership: Membership,
+    rng: SmallRng,
+}
+
+/// State that all parts of a process share.
+pub struct Shared {
+    /// Clocks.
+    pub clock: Clock,
+    /// Translation to the platform.
+    pub dialect: Arc<dyn Dialect>,
+    /// Targets of all services.
+    pub targets: Targets,
+    /// The target on this host.
+    pub local: LocalTarget,
+    /// Connections to the local target.
+    pub backend: BackendPool,
+    /// Links to other nodes.
+    pub peers: PeerPool,
+    /// Client of the key-value service.
+    pub store: StoreClient,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    settings: Mutex<Arc<MeshSettings>>,
+    version: Mutex<Option<Arc<Version>>>,
+    version_changed: watch::Sender<DocVersion>,
+    member: Mutex<Member>,
+    member_changed: tokio::sync::Notify,
+    outputs: mpsc::UnboundedSender<Output>,
+    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    stopping: AtomicBool,
+    refusing_peers: AtomicBool,
+    open_requests: AtomicUsize,
+    me: HostId,
+}
+
+impl Shared {
+    /// Creates the state of a process. What the membership decides comes out of the receiver.
+    pub fn new(
+        settings: MeshSettings,
+        dialect: Arc<dyn Dialect>,
+    ) -> (Self, mpsc::UnboundedReceiver<Output>) {
+        let clock = Clock::start();
+        let me = HostId(settings.listen.peer);
+        let seed = rand::rng().random();
+        let incarnation = Incarnation(clock.wall().0);
+        let info = TargetInfo {
+            host: me,
+            incarnation,
+            service: settings.service.clone(),
+            zone: settings.zone.clone(),
+            slots: 0,
+            state: TargetState::Starting,
+        };
+        let member = Member {
+            membership: Membership::new(info, membership_settings(&settings)),
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        let (outputs, rx) = mpsc::unbounded_channel();
+        let zone = settings.zone.clone();
+        let shared = Self {
+            targets: Targets::new(clock, zone, RouterSettings::default(), seed),
+            local: LocalTarget::new(SlotSettings::default()),
+            backend: BackendPool::new(clock),
+            peers: PeerPool::new(clock),
+            store: StoreClient::with_codec(settings.store, dialect.store_codec()),
+            metrics: Metrics::default(),
+            settings: Mutex::new(Arc::new(settings)),
+            version: Mutex::default(),
+            version_changed: watch::Sender::new(DocVersion::default()),
+            member: Mutex::new(member),
+            member_changed: tokio::sync::Notify::new(),
+            outputs,
+            budgets: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            refusing_peers: AtomicBool::new(false),
+            open_requests: AtomicUsize::new(0),
+            me,
+            clock,
+            dialect,
+        };
+        (shared, rx)
+    }
+
+    /// This node as others name it.
+    pub fn me(&self) -> HostId {
+        self.me
+    }
+
+    /// Settings in force.
+    pub fn settings(&self) -> Arc<MeshSettings> {
+        Arc::clone(&lock(&self.settings))
+    }
+
+    /// Puts changed settings in force. Addresses to listen on are those of the start.
+    pub fn set_settings(&self, settings: MeshSettings) {
+        *lock(&self.settings) = Arc::new(settings);
+    }
+
+    /// Version of the configuration in force.
+    pub fn version(&self) -> Option<Arc<Version>> {
+        lock(&self.version).clone()
+    }
+
+    /// Puts a version in force if it is newer; returns whether it was.
+    pub fn adopt(&self, version: Version) -> bool {
+        let number = version.number();
+        let mut current = lock(&self.version);
+        if current
+            .as_ref()
+            .is_some_and(|known| known.number() >= number)
+        {
+            return false;
+        }
+        *current = Some(Arc::new(version));
+        drop(current);
+        self.version_changed.send_replace(number);
+        true
+    }
+
+    /// Tells of each version that comes into force.
+    pub fn watch_version(&self) -> watch::Receiver<DocVersion> {
+        self.version_changed.subscribe()
+    }
+
+    /// Whether the process is about to end.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the process is about to end.
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether requests of other nodes are refused, as they know by now that this one stops.
+    pub fn is_refusing_peers(&self) -> bool {
+        self.refusing_peers.load(Ordering::Relaxed)
+    }
+
+    /// Refuses requests of other nodes from now on.
+    pub fn refuse_peers(&self) {
+        self.refusing_peers.store(true, Ordering::Relaxed);
+    }
+
+    /// Counts a request as open until the guard is dropped.
+    pub fn open_request(self: &Arc<Self>) -> OpenRequest {
+        self.open_requests.fetch_add(1, Ordering::Relaxed);
+        OpenRequest(Arc::clone(self))
+    }
+
+    /// Number of open requests.
+    pub fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::Relaxed)
+    }
+
+    /// Hands an input to the membership; what it decides goes to the receiver of [`Self::new`].
+    pub fn member_input(&self, input: Input) {
+        let now = self.clock.now();
+        let outputs = {
+            let Member { membership, rng } = &mut *lock(&self.member);
+            membership.handle(now, rng, input)
+        };
+        for output in outputs {
+            // The receiver lives as long as the process.
+            let _ = self.outputs.send(output);
+        }
+        self.member_changed.notify_one();
+    }
+
+    /// Reads from the membership.
+    pub fn with_member<T>(&self, read: impl FnOnce(&Membership) -> T) -> T {
+        read(&lock(&self.member).membership)
+    }
+
+    /// Completes when the membership took in an input.
+    pub async fn member_changed(&self) {
+        self.member_changed.notified().await;
+    }
+
+    /// Tells other nodes of the state of the local target.
+    pub fn announce(&self) {
+        let (mut state, slots) = self.local.announcement();
+        if self.is_stopping() && state == TargetState::Serving {
+            state = TargetState::Draining;
+        }
+        self.member_input(Input::Announce { state, slots });
+    }
+
+    /// Counts a request to `service` towards its retries.
+    pub fn count_first_attempt(&self, service: &ServiceName) {
+        self.with_budget(service, |budget, now| budget.first_attempt(now));
+    }
+
+    /// Whether a request to `service` may be sent to a second target.
+    pub fn take_retry(&self, service: &ServiceName) -> bool {
+        let taken = self.with_budget(service, |budget, now| budget.take(now));
+        if taken == BudgetState::Available {
+            self.metrics.retried();
+        }
+        taken == BudgetState::Available
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        act: impl FnOnce(&mut RetryBudget, MonoTime) -> T,
+    ) -> T {
+        let now = self.clock.now();
+        let mut budgets = lock(&self.budgets);
+        if let Some(budget) = budgets.get_mut(service) {
+            return act(budget, now);
+        }
+        let settings = BudgetSettings {
+            retries_per_hundred: RETRIES_PER_HUNDRED,
+            floor_per_second: 0,
+            burst: RETRY_BURST,
+            burst_time: RETRY_BURST_TIME,
+            overload_hold: Duration::ZERO,
+        };
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(now, settings));
+        act(budget, now)
+    }
+}
+
+/// Counts a request as open until it is dropped.
+pub struct OpenRequest(Arc<Shared>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn membership_settings(settings: &MeshSettings) -> MembershipSettings {
+    MembershipSettings {
+        seeds: settings.seeds.clone(),
+        view: ViewMode::Full,
+        probe_interval: Duration::from_millis(500),
+        probe_timeout: Duration::from_millis(300),
+        suspicion_timeout: Duration::from_secs(2),
+        ..MembershipSettings::default()
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/targets.rs
@@ -0,0 +1,127 @@
+//! Targets of all services as this node knows them, and the choice among them.
+
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_node::process::Clock;
+use rhubarblanding_node::process::parking::{Mutex, lock};
+use rhubarblanding_routing::prelude::{
+    PickRequest, Router, RouterSettings, TargetId, TargetOutcome,
+};
+
+struct Shard {
+    router: Router,
+    rng: SmallRng,
+}
+
+/// Targets of all services.
+pub struct Targets {
+    clock: Clock,
+    zone: ZoneName,
+    settings: RouterSettings,
+    seed: u64,
+    services: Mutex<HashMap<ServiceName, Arc<Mutex<Shard>>>>,
+}
+
+/// A request at a target. Dropping it counts as given up by the sender.
+pub struct Sent {
+    clock: Clock,
+    shard: Arc<Mutex<Shard>>,
+    target: TargetId,
+    outcome: TargetOutcome,
+}
+
+impl Sent {
+    /// Records how the request ended.
+    pub fn finish(mut self, outcome: TargetOutcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        lock(&self.shard)
+            .router
+            .finished(now, self.target, self.outcome);
+    }
+}
+
+impl Targets {
+    /// No targets yet; those of `zone` are preferred.
+    pub fn new(clock: Clock, zone: ZoneName, settings: RouterSettings, seed: u64) -> Self {
+        Self {
+            clock,
+            zone,
+            settings,
+            seed,
+            services: Mutex::default(),
+        }
+    }
+
+    /// Takes over news about a target.
+    pub fn upsert(&self, info: TargetInfo) {
+        let shard = self.shard(&info.service);
+        lock(&shard).router.upsert(self.clock.now(), info);
+    }
+
+    /// Removes a target.
+    pub fn remove(&self, service: &ServiceName, host: HostId) {
+        lock(&self.shard(service)).router.remove(host);
+    }
+
+    /// Chooses a target.
+    pub fn pick(
+        &self,
+        now: MonoTime,
+        service: &ServiceName,
+        exclude: &[HostId],
+    ) -> Option<TargetId> {
+        let shard = self.shard(service);
+        let shard = &mut *lock(&shard);
+        let req = PickRequest {
+            zone: Some(&self.zone),
+            exclude,
+        };
+        shard.router.pick(now, &mut shard.rng, req)
+    }
+
+    /// Records that a request is sent to a target.
+    pub fn started(&self, service: &ServiceName, target: TargetId) -> Sent {
+        let shard = self.shard(service);
+        lock(&shard).router.started(self.clock.now(), target);
+        Sent {
+            clock: self.clock,
+            shard,
+            target,
+            outcome: TargetOutcome::Cancelled,
+        }
+    }
+
+    /// Records the load that a target's node told.
+    pub fn observe(&self, service: &ServiceName, target: TargetId, load: LoadReport) {
+        let shard = self.shard(service);
+        lock(&shard).router.observe(self.clock.now(), target, load);
+    }
+
+    /// Number of known targets of `service`.
+    pub fn len(&self, service: &ServiceName) -> usize {
+        lock(&self.shard(service)).router.serving_len()
+    }
+
+    fn shard(&self, service: &ServiceName) -> Arc<Mutex<Shard>> {
+        let mut services = lock(&self.services);
+        if let Some(shard) = services.get(service) {
+            return Arc::clone(shard);
+        }
+        let shard = Shard {
+            router: Router::new(self.settings.clone()),
+            rng: SmallRng::seed_from_u64(self.seed ^ services.len() as u64),
+        };
+        let shard = Arc::new(Mutex::new(shard));
+        services.insert(service.clone(), Arc::clone(&shard));
+        shard
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -0,0 +1,330 @@
+//! The entry of a request: its route, its target, and what is done when an attempt fails.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{self, HeaderMap, HeaderValue};
+use http::{Method, Request, Response, Uri};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rhubarblanding_admission::slots::KindKey;
+use rhubarblanding_core::collections::stable_hash;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_routing::prelude::{TargetId, TargetOutcome};
+
+use super::answer::refusal;
+use super::forward::forward;
+use super::headers::strip_connection;
+use super::hop::{ANSWER_HEADER, HopHeader, HopOutcome, HopReply, HopRequest, REQUEST_HEADER};
+use crate::connection::Payload;
+use crate::process::{Ending, Shared};
+use crate::version::ChosenRoute;
+
+/// Time beyond the deadline in which the answer of the node beside the target may still come.
+const ANSWER_GRACE: Duration = Duration::from_millis(80);
+/// Targets asked for one request while none of them was sent it.
+const PLACEMENTS_MAX: usize = 3;
+/// Time after which a client is told to come back if this node has no configuration or knows no
+/// target: both are mended within a second or two.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
+/// A request that is being served.
+struct Exchange {
+    id: HeaderValue,
+    route: ChosenRoute,
+    service: ServiceName,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    host: String,
+    body: Bytes,
+    began: MonoTime,
+    /// Time after which the client or the operators want no answer.
+    deadline: MonoTime,
+    objective: MonoTime,
+}
+
+/// Answers a request of a client or of the local target.
+pub async fn handle_client(
+    node: Arc<Shared>,
+    req: Request<Incoming>,
+    _: SocketAddr,
+) -> Response<Payload> {
+    let began = node.clock.now();
+    let _open = node.open_request();
+    let mut resp = match admit(&node, req, began).await {
+        Ok(exchange) => serve(&node, exchange).await,
+        Err(resp) => resp,
+    };
+    if node.is_stopping() {
+        // The client is to open its next connection to another node.
+        resp.headers_mut()
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    resp
+}
+
+/// Finds out what a request asks for, or why it cannot be served.
+async fn admit(
+    node: &Shared,
+    req: Request<Incoming>,
+    began: MonoTime,
+) -> Result<Exchange, Response<Payload>> {
+    let (mut parts, body) = req.into_parts();
+    let names = node.dialect.headers();
+    let id = parts.headers.get(&names.request_id).cloned();
+    let reject = |kind: ErrorKind, retry: Option<Duration>| {
+        let ending = Refusal {
+            kind,
+            retry_after: retry,
+        };
+        node.log_refusal(id.as_ref(), ending, Ending::AtEntry);
+        refusal(ending)
+    };
+    let Some(version) = node.version() else {
+        return Err(reject(ErrorKind::NoConfiguration, Some(NOT_READY_RETRY)));
+    };
+    let Some(request_id) = id.clone() else {
+        return Err(reject(ErrorKind::InvalidRequest, None));
+    };
+    let host = host_of(&parts.headers, &parts.uri)
+        .unwrap_or_default()
+        .to_owned();
+    let Some(route) = ChosenRoute::find(&version, &host, parts.uri.path()) else {
+        return Err(reject(ErrorKind::UnknownRoute, None));
+    };
+    let limit = version.configuration().limits.body_bytes;
+    let body = match Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => return Err(reject(ErrorKind::BodyTooLarge, None)),
+        Err(_) => return Err(reject(ErrorKind::InvalidRequest, None)),
+    };
+    let told = parts
+        .headers
+        .get(&names.deadline_ms)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.trim().parse().ok())
+        .map(Duration::from_millis);
+    let timeout = route.route().timeout;
+    let deadline = began + told.map_or(timeout, |told| told.min(timeout));
+    let objective = (began + route.route().objective).min(deadline);
+    strip_connection(&mut parts.headers);
+    for name in [header::HOST, header::CONTENT_LENGTH, header::EXPECT] {
+        parts.headers.remove(name);
+    }
+    for name in [REQUEST_HEADER, ANSWER_HEADER] {
+        parts.headers.remove(name);
+    }
+    parts.headers.remove(&names.expected_instance);
+    if let Ok(caller) = HeaderValue::try_from(node.settings().service.as_str()) {
+        parts.headers.insert(names.caller_service.clone(), caller);
+    }
+    let uri = parts
+        .uri
+        .into_parts()
+        .path_and_query
+        .map_or_else(Default::default, Into::into);
+    let service = route.next_backend().service.clone();
+    Ok(Exchange {
+        id: request_id,
+        route,
+        service,
+        method: parts.method,
+        uri,
+        headers: parts.headers,
+        host,
+        body,
+        began,
+        deadline,
+        objective,
+    })
+}
+
+fn host_of<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> Option<&'a str> {
+    uri.authority()
+        .map(|authority| authority.as_str())
+        .or_else(|| headers.get(header::HOST)?.to_str().ok())
+}
+
+/// What comes after an attempt.
+enum Next {
+    Deliver(Response<Payload>),
+    Refuse(Refusal),
+    Again,
+}
+
+/// Attempts of one request so far.
+#[derive(Default)]
+struct Attempts {
+    /// Hosts that were asked.
+    tried: Vec<HostId>,
+    /// Targets that the request was sent to.
+    reached: u32,
+}
+
+async fn serve(node: &Arc<Shared>, exchange: Exchange) -> Response<Payload> {
+    node.count_first_attempt(&exchange.service);
+    let mut attempts = Attempts::default();
+    loop {
+        let now = node.clock.now();
+        if now >= exchange.deadline {
+            let kind = match attempts.reached {
+                0 => ErrorKind::QueueTimeout,
+                _ => ErrorKind::DeadlineExceeded,
+            };
+            return refuse(node, &exchange, Refusal::new(kind), &attempts);
+        }
+        let Some(target) = node.targets.pick(now, &exchange.service, &attempts.tried) else {
+            let refusal = Refusal::with_retry_after(ErrorKind::NoTarget, NOT_READY_RETRY);
+            return refuse(node, &exchange, refusal, &attempts);
+        };
+        attempts.tried.push(target.host);
+        match attempt(node, &exchange, target, &mut attempts).await {
+            Next::Deliver(resp) => {
+                node.log_answer(
+                    &exchange.id,
+                    &exchange.service,
+                    target,
+                    resp.status(),
+                    exchange.began,
+                );
+                return resp;
+            }
+            Next::Refuse(refusal) => return refuse(node, &exchange, refusal, &attempts),
+            Next::Again => {}
+        }
+    }
+}
+
+fn refuse(
+    node: &Shared,
+    exchange: &Exchange,
+    ending: Refusal,
+    attempts: &Attempts,
+) -> Response<Payload> {
+    let ending_at = Ending::After {
+        service: &exchange.service,
+        version: exchange.route.version(),
+        tried: attempts.tried.len(),
+        waited: node.clock.now().since(exchange.began),
+    };
+    node.log_refusal(Some(&exchange.id), ending, ending_at);
+    refusal(ending)
+}
+
+async fn attempt(
+    node: &Arc<Shared>,
+    exchange: &Exchange,
+    target: TargetId,
+    attempts: &mut Attempts,
+) -> Next {
+    let limit = node.clock.instant(exchange.deadline + ANSWER_GRACE);
+    let hop = hop_request(node, exchange);
+    let sent = node.targets.started(&exchange.service, target);
+    let reply = tokio::time::timeout_at(limit, forward(node, target.host, hop)).await;
+    let Ok(HopReply { outcome, load }) = reply else {
+        sent.finish(TargetOutcome::Silent);
+        return Next::Refuse(Refusal::new(ErrorKind::DeadlineExceeded));
+    };
+    if let Some(load) = load {
+        node.targets.observe(&exchange.service, target, load);
+    }
+    match outcome {
+        HopOutcome::Answered(resp) => {
+            sent.finish(target_outcome(&resp));
+            attempts.reached += 1;
+            on_answer(node, exchange, resp, attempts)
+        }
+        HopOutcome::Refused(refusal) => {
+            sent.finish(match refusal.kind {
+                ErrorKind::ConnectFailed
+                | ErrorKind::TargetDraining
+                | ErrorKind::UnknownService => TargetOutcome::ConnectFailed,
+                _ => TargetOutcome::Refused,
+            });
+            on_refused(refusal, attempts)
+        }
+        HopOutcome::Shed(refusal) => {
+            sent.finish(TargetOutcome::Refused);
+            attempts.reached += 1;
+            if may_send_again(node, exchange, attempts) {
+                return Next::Again;
+            }
+            Next::Refuse(refusal)
+        }
+        HopOutcome::Lost(kind) => {
+            sent.finish(TargetOutcome::ConnectionLost);
+            attempts.reached += 1;
+            let is_repeatable = exchange.route.route().idempotency == Idempotency::Idempotent;
+            if is_repeatable
+                && kind != ErrorKind::DeadlineExceeded
+                && may_send_again(node, exchange, attempts)
+            {
+                return Next::Again;
+            }
+            Next::Refuse(Refusal::new(kind))
+        }
+    }
+}
+
+fn target_outcome(resp: &Response<Payload>) -> TargetOutcome {
+    if resp.status().is_server_error() {
+        TargetOutcome::Failed
+    } else {
+        TargetOutcome::Answered
+    }
+}
+
+/// A failure of the target may be mended by another target, if the request may run twice.
+fn on_answer(
+    node: &Shared,
+    exchange: &Exchange,
+    resp: Response<Payload>,
+    attempts: &Attempts,
+) -> Next {
+    let is_failure = resp.status().is_server_error() && resp.status().as_u16() != 504;
+    let is_repeatable = exchange.route.route().idempotency == Idempotency::Idempotent;
+    if is_failure && is_repeatable && may_send_again(node, exchange, attempts) {
+        return Next::Again;
+    }
+    Next::Deliver(resp)
+}
+
+/// Nothing was sent to the target, so another one may be asked at no cost to the retry bound.
+fn on_refused(refusal: Refusal, attempts: &Attempts) -> Next {
+    let is_final = matches!(
+        refusal.kind,
+        ErrorKind::DeadlineBeforeRun | ErrorKind::QueueTimeout | ErrorKind::InvalidRequest
+    );
+    if is_final || attempts.tried.len() >= PLACEMENTS_MAX {
+        return Next::Refuse(refusal);
+    }
+    Next::Again
+}
+
+fn may_send_again(node: &Shared, exchange: &Exchange, attempts: &Attempts) -> bool {
+    attempts.reached < exchange.route.route().max_attempts
+        && attempts.tried.len() < PLACEMENTS_MAX
+        && node.take_retry(&exchange.service)
+}
+
+fn hop_request(node: &Shared, exchange: &Exchange) -> HopRequest {
+    let now = node.clock.now();
+    let route = exchange.route.route();
+    HopRequest {
+        header: HopHeader {
+            service: exchange.service.clone(),
+            deadline: now.until(exchange.deadline),
+            objective: now.until(exchange.objective),
+            rank: route.rank,
+            kind: KindKey(stable_hash(0, route.name.as_bytes())),
+            host: exchange.host.clone(),
+        },
+        method: exchange.method.clone(),
+        uri: exchange.uri.clone(),
+        headers: exchange.headers.clone(),
+        body: exchange.body.clone(),
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -0,0 +1,107 @@
+//! The first hop: from the entry node to the node beside a target.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use http::header::HeaderValue;
+use http::{Request, Response, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use rhubarblanding_core::prelude::*;
+
+use super::hop::{
+    ANSWER_HEADER, HopOutcome, HopReply, HopRequest, HopResult, HopStatus, REQUEST_HEADER,
+};
+use super::serve::{HOLD_MAX_BYTES, join, serve_local};
+use crate::connection::{Payload, PeerError, TailGuard};
+use crate::process::Shared;
+
+/// Sends a request to the node on `host`, which may be this one.
+pub(super) async fn forward(node: &Arc<Shared>, host: HostId, hop: HopRequest) -> HopReply {
+    if host == node.me() {
+        return serve_local(Arc::clone(node), hop).await;
+    }
+    let Some(req) = prepare(host, hop) else {
+        return reply(HopOutcome::Refused(Refusal::new(ErrorKind::InvalidRequest)));
+    };
+    match node.peers.send(host.0, req).await {
+        Ok(resp) => receive(resp).await,
+        Err(PeerError::NotSent) => {
+            reply(HopOutcome::Refused(Refusal::new(ErrorKind::ConnectFailed)))
+        }
+        Err(PeerError::Lost) => reply(HopOutcome::Lost(ErrorKind::ConnectionLost)),
+    }
+}
+
+fn reply(outcome: HopOutcome) -> HopReply {
+    HopReply {
+        outcome,
+        load: None,
+    }
+}
+
+fn prepare(host: HostId, hop: HopRequest) -> Option<Request<Full<bytes::Bytes>>> {
+    let mut req = Request::new(Full::new(hop.body));
+    let path = hop.uri.path_and_query()?.clone();
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(host.to_string())
+        .path_and_query(path);
+    *req.uri_mut() = uri.build().ok()?;
+    *req.method_mut() = hop.method;
+    *req.headers_mut() = hop.headers;
+    let header = HeaderValue::try_from(hop.header.to_string()).ok()?;
+    req.headers_mut().insert(REQUEST_HEADER, header);
+    Some(req)
+}
+
+async fn receive(resp: Response<Incoming>) -> HopReply {
+    let (mut parts, body) = resp.into_parts();
+    let status = parts
+        .headers
+        .remove(ANSWER_HEADER)
+        .and_then(|value| value.to_str().ok().map(HopStatus::try_from));
+    let Some(Ok(status)) = status else {
+        return reply(HopOutcome::Lost(ErrorKind::Internal));
+    };
+    let outcome = match status.result {
+        HopResult::Answered => collect(parts, body).await,
+        HopResult::Refused => HopOutcome::Refused(status.refusal),
+        HopResult::Shed => HopOutcome::Shed(status.refusal),
+        HopResult::Lost => HopOutcome::Lost(status.refusal.kind),
+    };
+    HopReply {
+        outcome,
+        load: Some(status.load),
+    }
+}
+
+/// Reads an answer whole if it is small, so that the client gets all of it or a failure.
+async fn collect(parts: http::response::Parts, mut body: Incoming) -> HopOutcome {
+    let mut chunks = VecDeque::new();
+    let mut len = 0;
+    while len <= HOLD_MAX_BYTES {
+        match body.frame().await {
+            None => {
+                let whole = Payload::whole(join(chunks));
+                return HopOutcome::Answered(Response::from_parts(parts, whole));
+            }
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    len += data.len();
+                    chunks.push_back(data);
+                }
+            }
+            Some(Err(_)) => return HopOutcome::Lost(ErrorKind::ConnectionLost),
+        }
+    }
+    let stream = Payload::stream(chunks, body, Box::new(NoGuard));
+    HopOutcome::Answered(Response::from_parts(parts, stream))
+}
+
+/// Guard of a body whose end nobody waits for.
+struct NoGuard;
+
+impl TailGuard for NoGuard {
+    fn ended(&mut self, _whole: bool) {}
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/request/hop.rs
@@ -0,0 +1,191 @@
+//! What the entry node and the node beside the target tell each other about a request.
+
+use std::fmt;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Response, Uri};
+use rhubarblanding_admission::slots::KindKey;
+use rhubarblanding_core::prelude::*;
+use strum::{Display, EnumString};
+
+use crate::connection::Payload;
+
+/// Header of a request between nodes; its value is a [`HopHeader`].
+pub(crate) const REQUEST_HEADER: &str = "rb-hop";
+/// Header of an answer between nodes; its value is a [`HopStatus`].
+pub(crate) const ANSWER_HEADER: &str = "rb-result";
+
+/// Path of messages of the membership.
+pub(crate) const GOSSIP_PATH: &str = "/membership";
+
+/// What the entry node says of a request. Times are what is left, so that clocks need not agree.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HopHeader {
+    /// Service that is to run the request.
+    pub service: ServiceName,
+    /// Time after which the answer is of no use.
+    pub deadline: Duration,
+    /// Time within which an answer is worth most.
+    pub objective: Duration,
+    /// Urgency, 0 is the most urgent.
+    pub rank: u8,
+    /// Kind of the request.
+    pub kind: KindKey,
+    /// Host that the client asked for.
+    pub host: String,
+}
+
+impl fmt::Display for HopHeader {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{};{};{};{};{:x};{}",
+            self.service,
+            self.deadline.as_millis(),
+            self.objective.as_millis(),
+            self.rank,
+            self.kind.0,
+            self.host
+        )
+    }
+}
+
+/// The header is not one that a node writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InvalidHop;
+
+impl TryFrom<&str> for HopHeader {
+    type Error = InvalidHop;
+
+    fn try_from(raw: &str) -> Result<Self, InvalidHop> {
+        let mut fields = raw.splitn(6, ';');
+        let mut next = || fields.next().ok_or(InvalidHop);
+        let service = ServiceName::try_from(next()?).map_err(|_| InvalidHop)?;
+        let deadline = millis(next()?)?;
+        let objective = millis(next()?)?;
+        let rank = next()?.parse().map_err(|_| InvalidHop)?;
+        let kind = u64::from_str_radix(next()?, 16).map_err(|_| InvalidHop)?;
+        Ok(Self {
+            service,
+            deadline,
+            objective,
+            rank,
+            kind: KindKey(kind),
+            host: next()?.to_owned(),
+        })
+    }
+}
+
+fn millis(raw: &str) -> Result<Duration, InvalidHop> {
+    raw.parse()
+        .map(Duration::from_millis)
+        .map_err(|_| InvalidHop)
+}
+
+/// A request on its way to the node beside a target.
+#[derive(Clone, Debug)]
+pub struct HopRequest {
+    /// What the entry node says of it.
+    pub header: HopHeader,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers, without those that concern one connection only.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// How a request ended at the node beside the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum HopResult {
+    /// The target answered; the message is its answer.
+    Answered,
+    /// It was not sent to the target.
+    Refused,
+    /// The target refused it without running it.
+    Shed,
+    /// It was sent, and no usable answer came.
+    Lost,
+}
+
+/// What the node beside the target says of a request and of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HopStatus {
+    /// How the request ended.
+    pub result: HopResult,
+    /// Reason, unless the target answered.
+    pub refusal: Refusal,
+    /// Load of the target.
+    pub load: LoadReport,
+}
+
+impl fmt::Display for HopStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let retry_ms = self
+            .refusal
+            .retry_after
+            .map_or(0, |after| after.as_millis());
+        let load = &self.load;
+        write!(
+            f,
+            "{};{};{retry_ms};{};{};{};{}",
+            self.result,
+            self.refusal.kind,
+            load.in_flight,
+            load.queued,
+            load.limit,
+            u8::from(load.draining)
+        )
+    }
+}
+
+impl TryFrom<&str> for HopStatus {
+    type Error = InvalidHop;
+
+    fn try_from(raw: &str) -> Result<Self, InvalidHop> {
+        let mut fields = raw.split(';');
+        let mut next = || fields.next().ok_or(InvalidHop);
+        let result = next()?.parse().map_err(|_| InvalidHop)?;
+        let kind = next()?.parse().map_err(|_| InvalidHop)?;
+        let retry_after = millis(next()?)?;
+        let mut number = || next()?.parse::<u32>().map_err(|_| InvalidHop);
+        Ok(Self {
+            result,
+            refusal: Refusal {
+                kind,
+                retry_after: (!retry_after.is_zero()).then_some(retry_after),
+            },
+            load: LoadReport {
+                in_flight: number()?,
+                queued: number()?,
+                limit: number()?,
+                draining: number()? != 0,
+                ..LoadReport::default()
+            },
+        })
+    }
+}
+
+/// How a request ended at one target.
+pub enum HopOutcome {
+    /// The target answered.
+    Answered(Response<Payload>),
+    /// It was not sent to the target.
+    Refused(Refusal),
+    /// The target refused it without running it.
+    Shed(Refusal),
+    /// It may have run, and no usable answer came.
+    Lost(ErrorKind),
+}
+
+/// Outcome at one target, and its load if that was told.
+pub struct HopReply {
+    /// How the request ended.
+    pub outcome: HopOutcome,
+    /// Load of the target.
+    pub load: Option<LoadReport>,
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/request/mod.rs
@@ -0,0 +1,14 @@
+//! What lives for a request: its way from the entry node to the target and back.
+
+mod answer;
+mod entry;
+mod forward;
+mod headers;
+mod hop;
+mod serve;
+
+pub use answer::{refusal, refusal_with_note};
+pub use entry::handle_client;
+pub(crate) use hop::GOSSIP_PATH;
+pub use hop::{HopHeader, HopOutcome, HopReply, HopRequest, HopResult, HopStatus, InvalidHop};
+pub use serve::{handle_peer, serve_local};
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -0,0 +1,334 @@
+//! The second hop: from the node beside a target to the target.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_membership::prelude::Input;
+
+use super::headers::strip_connection;
+use super::hop::{
+    ANSWER_HEADER, GOSSIP_PATH, HopHeader, HopOutcome, HopReply, HopRequest, HopResult, HopStatus,
+    REQUEST_HEADER,
+};
+use crate::connection::{BackendConn, ExchangeError, Payload, TailGuard};
+use crate::process::{Shared, SlotPermit};
+
+/// Size up to which an answer is held until it is complete, in bytes. A broken one then becomes a
+/// clean failure instead of a cut answer.
+pub(super) const HOLD_MAX_BYTES: usize = 256 * 1024;
+/// Greatest size of a message of the membership, in bytes.
+const GOSSIP_MAX_BYTES: usize = 4 << 20;
+/// Greatest size of a request between nodes, in bytes.
+const BODY_MAX_BYTES: usize = 64 << 20;
+/// Time that a target gets beyond the deadline to answer for itself.
+const DEADLINE_GRACE: Duration = Duration::from_millis(30);
+/// Connections tried for one request while none of them took a byte.
+const CONNECT_ATTEMPTS: usize = 3;
+
+/// Answers a request of another node.
+pub async fn handle_peer(
+    node: Arc<Shared>,
+    req: Request<Incoming>,
+    _: SocketAddr,
+) -> Response<Payload> {
+    let (mut parts, body) = req.into_parts();
+    if parts.uri.path() == GOSSIP_PATH && !parts.headers.contains_key(REQUEST_HEADER) {
+        return gossip(&node, body).await;
+    }
+    let _open = node.open_request();
+    if node.is_refusing_peers() {
+        let refusal = Refusal::new(ErrorKind::NodeDraining);
+        return encode(HopReply {
+            outcome: HopOutcome::Refused(refusal),
+            load: None,
+        });
+    }
+    let header = parts
+        .headers
+        .remove(REQUEST_HEADER)
+        .and_then(|value| value.to_str().ok().map(HopHeader::try_from));
+    let Some(Ok(header)) = header else {
+        log::warn!(path:% = parts.uri.path(); "peer_request_invalid");
+        return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
+    };
+    let body = match http_body_util::Limited::new(body, BODY_MAX_BYTES)
+        .collect()
+        .await
+    {
+        Ok(body) => body.to_bytes(),
+        Err(e) => {
+            log::info!(reason:% = e; "peer_request_cut");
+            return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
+        }
+    };
+    let uri = parts
+        .uri
+        .into_parts()
+        .path_and_query
+        .map_or_else(Default::default, Into::into);
+    let hop = HopRequest {
+        header,
+        method: parts.method,
+        uri,
+        headers: parts.headers,
+        body,
+    };
+    encode(serve_local(node, hop).await)
+}
+
+/// Takes in a message of another node's membership.
+async fn gossip(node: &Shared, body: Incoming) -> Response<Payload> {
+    let body = match http_body_util::Limited::new(body, GOSSIP_MAX_BYTES)
+        .collect()
+        .await
+    {
+        Ok(body) => body.to_bytes(),
+        Err(e) => {
+            log::info!(reason:% = e; "gossip_cut");
+            return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
+        }
+    };
+    match serde_json::from_slice(&body) {
+        Ok(msg) => node.member_input(Input::Message(msg)),
+        Err(e) => log::warn!(reason:% = e; "gossip_invalid"),
+    }
+    no_content()
+}
+
+/// Writes an outcome as an answer between nodes.
+fn encode(reply: HopReply) -> Response<Payload> {
+    let (result, refusal, mut resp) = match reply.outcome {
+        HopOutcome::Answered(resp) => {
+            let none = Refusal::new(ErrorKind::Internal);
+            (HopResult::Answered, none, resp)
+        }
+        HopOutcome::Refused(refusal) => (HopResult::Refused, refusal, no_content()),
+        HopOutcome::Shed(refusal) => (HopResult::Shed, refusal, no_content()),
+        HopOutcome::Lost(kind) => (HopResult::Lost, Refusal::new(kind), no_content()),
+    };
+    let status = HopStatus {
+        result,
+        refusal,
+        load: reply.load.unwrap_or_default(),
+    };
+    if let Ok(value) = HeaderValue::try_from(status.to_string()) {
+        resp.headers_mut().insert(ANSWER_HEADER, value);
+    }
+    resp
+}
+
+fn no_content() -> Response<Payload> {
+    Response::new(Payload::empty())
+}
+
+/// Admits a request and hands it to the local target.
+pub async fn serve_local(node: Arc<Shared>, hop: HopRequest) -> HopReply {
+    let now = node.clock.now();
+    let deadline = now + hop.header.deadline;
+    let objective = now + hop.header.objective;
+    let outcome = match node
+        .local
+        .acquire(&node, &hop.header, objective, deadline)
+        .await
+    {
+        Ok(permit) => run(&node, hop, permit, deadline).await,
+        Err(refusal) => HopOutcome::Refused(refusal),
+    };
+    HopReply {
+        outcome,
+        load: Some(node.local.load()),
+    }
+}
+
+/// Sends an admitted request to the target and waits for its answer.
+async fn run(
+    node: &Arc<Shared>,
+    hop: HopRequest,
+    permit: SlotPermit,
+    deadline: MonoTime,
+) -> HopOutcome {
+    let limit = node.clock.instant(deadline + DEADLINE_GRACE);
+    let id = hop.headers.get(&node.dialect.headers().request_id).cloned();
+    match tokio::time::timeout_at(limit, attempt(node, hop, permit, deadline)).await {
+        Ok(outcome) => outcome,
+        Err(_) => {
+            node.log_target_failure(id.as_ref(), "deadline");
+            HopOutcome::Lost(ErrorKind::DeadlineExceeded)
+        }
+    }
+}
+
+async fn attempt(
+    node: &Arc<Shared>,
+    hop: HopRequest,
+    mut permit: SlotPermit,
+    deadline: MonoTime,
+) -> HopOutcome {
+    let id = hop.headers.get(&node.dialect.headers().request_id).cloned();
+    let req = prepare(node, hop, &permit, deadline);
+    let addr = node.settings().target_addr;
+    for _ in 0..CONNECT_ATTEMPTS {
+        let mut conn = match node.backend.get(addr, false).await {
+            Ok(conn) => conn,
+            Err(e) => {
+                node.log_target_failure(id.as_ref(), &e.to_string());
+                node.local.note_unreachable(node);
+                return HopOutcome::Refused(Refusal::new(ErrorKind::ConnectFailed));
+            }
+        };
+        match conn.exchange(req.clone()).await {
+            Ok(resp) => return receive(node, conn, resp, &mut permit, id.as_ref()).await,
+            Err(ExchangeError::NotSent) => {}
+            Err(e) => {
+                if e == ExchangeError::Garbled {
+                    node.backend.distrust();
+                }
+                node.log_target_failure(id.as_ref(), &e.to_string());
+                return HopOutcome::Lost(ErrorKind::ConnectionLost);
+            }
+        }
+    }
+    node.log_target_failure(id.as_ref(), "connections_closed");
+    HopOutcome::Refused(Refusal::new(ErrorKind::ConnectFailed))
+}
+
+/// Request as the target gets it.
+fn prepare(
+    node: &Shared,
+    hop: HopRequest,
+    permit: &SlotPermit,
+    deadline: MonoTime,
+) -> Request<Full<Bytes>> {
+    let names = node.dialect.headers();
+    let mut req = Request::new(Full::new(hop.body));
+    *req.method_mut() = hop.method;
+    *req.uri_mut() = hop.uri;
+    *req.headers_mut() = hop.headers;
+    let headers = req.headers_mut();
+    headers.remove(header::CONTENT_LENGTH);
+    set(headers, header::HOST, &hop.header.host);
+    let left = node.clock.now().until(deadline).as_millis();
+    set(headers, names.deadline_ms.clone(), &left.to_string());
+    set(
+        headers,
+        names.expected_instance.clone(),
+        &permit.instance().0,
+    );
+    req
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    match HeaderValue::try_from(value) {
+        Ok(value) => {
+            headers.insert(name, value);
+        }
+        Err(e) => log::warn!(header:% = name, reason:% = e; "header_not_set"),
+    }
+}
+
+/// Reads the answer of the target, whole if it is small.
+async fn receive(
+    node: &Arc<Shared>,
+    conn: BackendConn,
+    resp: Response<Incoming>,
+    permit: &mut SlotPermit,
+    id: Option<&HeaderValue>,
+) -> HopOutcome {
+    let names = node.dialect.headers();
+    let (mut parts, mut body) = resp.into_parts();
+    if parts.headers.get(&names.request_id) != id {
+        node.backend.distrust();
+        node.log_target_failure(id, "answer_of_another_request");
+        return HopOutcome::Lost(ErrorKind::ConnectionLost);
+    }
+    let encoded = parts.headers.contains_key(header::CONTENT_ENCODING);
+    let mut chunks = VecDeque::new();
+    let mut len = 0;
+    while len <= HOLD_MAX_BYTES {
+        match body.frame().await {
+            None => {
+                permit.answered(parts.status);
+                node.backend.put(conn);
+                if encoded {
+                    node.backend.distrust();
+                    node.log_target_failure(id, "encoded_answer");
+                    return HopOutcome::Lost(ErrorKind::ConnectionLost);
+                }
+                if is_not_run(node, parts.status, &parts.headers) {
+                    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+                        node.local.note_misdirected(node, permit.instance());
+                    }
+                    return HopOutcome::Shed(Refusal::new(ErrorKind::BackendShed));
+                }
+                strip_connection(&mut parts.headers);
+                parts.headers.remove(header::CONTENT_LENGTH);
+                let whole = Payload::whole(join(chunks));
+                return HopOutcome::Answered(Response::from_parts(parts, whole));
+            }
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    len += data.len();
+                    chunks.push_back(data);
+                }
+            }
+            Some(Err(e)) => {
+                if e.is_parse() {
+                    node.backend.distrust();
+                }
+                node.log_target_failure(id, "answer_cut");
+                return HopOutcome::Lost(ErrorKind::ConnectionLost);
+            }
+        }
+    }
+    permit.answered(parts.status);
+    strip_connection(&mut parts.headers);
+    let guard = TargetTail {
+        node: Arc::clone(node),
+        conn: Some(conn),
+        _permit: permit.take(),
+    };
+    let stream = Payload::stream(chunks, body, Box::new(guard));
+    HopOutcome::Answered(Response::from_parts(parts, stream))
+}
+
+/// Whether the target says that it did not run the request.
+fn is_not_run(node: &Shared, status: StatusCode, headers: &HeaderMap) -> bool {
+    let says_so = headers.contains_key(&node.dialect.headers().not_executed);
+    status == StatusCode::MISDIRECTED_REQUEST || (says_so && !status.is_success())
+}
+
+pub(super) fn join(mut chunks: VecDeque<Bytes>) -> Bytes {
+    if chunks.len() <= 1 {
+        return chunks.pop_front().unwrap_or_default();
+    }
+    let mut buf = BytesMut::with_capacity(chunks.iter().map(Bytes::len).sum());
+    for chunk in chunks {
+        buf.extend_from_slice(&chunk);
+    }
+    buf.freeze()
+}
+
+/// Keeps the slot and the connection until a passed-on answer has ended.
+struct TargetTail {
+    node: Arc<Shared>,
+    conn: Option<BackendConn>,
+    _permit: Option<SlotPermit>,
+}
+
+impl TailGuard for TargetTail {
+    fn ended(&mut self, whole: bool) {
+        if let Some(conn) = self.conn.take()
+            && whole
+        {
+            self.node.backend.put(conn);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_node/src/process/json_lines.rs
@@ -0,0 +1,206 @@
+//! Structured log lines on standard output, bounded and never waited for.
+
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use flexi_logger::writers::LogWriter;
+use flexi_logger::{DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle};
+use log::kv::{Key, Value, VisitSource};
+use log::{Level, Record};
+use rhubarblanding_core::prelude::HashMap;
+use serde_json::Map;
+
+use super::parking::lock;
+
+/// Lines collected before they are handed to the writing thread.
+const BATCH_BYTES: usize = 16 * 1024;
+/// Longest time for which a line is collected.
+const BATCH_TIME: Duration = Duration::from_millis(200);
+/// Batches that may wait to be written; further ones are dropped and counted.
+const BATCHES_WAITING: usize = 64;
+/// Lines of one event that are written in a second; further ones are counted.
+const LINES_PER_SECOND: u32 = 40;
+/// Length of the time over which lines of one event are counted.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Default)]
+struct EventRate {
+    written: u32,
+    suppressed: u64,
+}
+
+#[derive(Debug)]
+struct Pending {
+    batch: Vec<u8>,
+    since: Instant,
+    window: Instant,
+    rates: HashMap<String, EventRate>,
+}
+
+/// Writes records as JSON lines.
+struct JsonLines {
+    pending: Mutex<Pending>,
+    batches: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+/// Starts the logger of this process: JSON lines on standard output.
+///
+/// The lines of one event are bounded in each second, warnings and errors apart; what is left out
+/// is counted in a line of its own. If standard output is not read, lines are dropped and counted.
+///
+/// # Errors
+///
+/// Fails if a logger was started before or the writing thread cannot be started.
+pub fn start(level: log::LevelFilter) -> Result<LoggerHandle, FlexiLoggerError> {
+    let (batches, rx) = sync_channel(BATCHES_WAITING);
+    std::thread::Builder::new()
+        .name("log".to_owned())
+        .stack_size(64 * 1024)
+        .spawn(move || write_batches(&rx))?;
+    let now = Instant::now();
+    let writer = JsonLines {
+        pending: Mutex::new(Pending {
+            batch: Vec::with_capacity(BATCH_BYTES),
+            since: now,
+            window: now,
+            rates: HashMap::default(),
+        }),
+        batches,
+        dropped: Arc::new(AtomicU64::new(0)),
+    };
+    let spec = LogSpecification::builder()
+        .default(level.min(log::LevelFilter::Warn))
+        .module("rhubarblanding", level)
+        .module("rhubarblanding_mesh", level)
+        .module("rhubarblanding_node", level)
+        .module("rhubarblanding_store", level)
+        .build();
+    Logger::with(spec).log_to_writer(Box::new(writer)).start()
+}
+
+fn write_batches(batches: &Receiver<Vec<u8>>) {
+    let mut out = std::io::stdout();
+    while let Ok(batch) = batches.recv() {
+        if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
+            // Nobody reads standard output any more; the process works on without lines.
+            return;
+        }
+    }
+}
+
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let value = serde_json::to_value(&value).unwrap_or(serde_json::Value::Null);
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
+}
+
+fn line(event: &str, level: Level, fields: Map<String, serde_json::Value>) -> Vec<u8> {
+    let at = SystemTime::now().duration_since(UNIX_EPOCH);
+    let at_ms = at.map_or(0, |at| at.as_millis() as u64);
+    let mut object = Map::new();
+    object.insert("at_ms".into(), at_ms.into());
+    object.insert("level".into(), level.as_str().into());
+    object.insert("event".into(), event.into());
+    object.extend(fields);
+    let mut line = serde_json::Value::Object(object).to_string().into_bytes();
+    line.push(b'\n');
+    line
+}
+
+impl Pending {
+    fn admit(&mut self, event: &str) -> bool {
+        if self.window.elapsed() >= RATE_WINDOW {
+            self.end_window();
+        }
+        if let Some(rate) = self.rates.get_mut(event) {
+            if rate.written >= LINES_PER_SECOND {
+                rate.suppressed += 1;
+                return false;
+            }
+            rate.written += 1;
+            return true;
+        }
+        let rate = EventRate {
+            written: 1,
+            suppressed: 0,
+        };
+        self.rates.insert(event.to_owned(), rate);
+        true
+    }
+
+    fn end_window(&mut self) {
+        for (event, rate) in std::mem::take(&mut self.rates) {
+            if rate.suppressed > 0 {
+                let mut fields = Map::new();
+                fields.insert("of".into(), event.into());
+                fields.insert("count".into(), rate.suppressed.into());
+                self.batch
+                    .extend(line("lines_suppressed", Level::Info, fields));
+            }
+        }
+        self.window = Instant::now();
+    }
+
+    fn is_due(&self) -> bool {
+        self.batch.len() >= BATCH_BYTES || self.since.elapsed() >= BATCH_TIME
+    }
+}
+
+impl JsonLines {
+    fn hand_over(&self, pending: &mut Pending) {
+        if pending.batch.is_empty() {
+            return;
+        }
+        let batch = std::mem::replace(&mut pending.batch, Vec::with_capacity(BATCH_BYTES));
+        pending.since = Instant::now();
+        let lines = batch.iter().filter(|b| **b == b'\n').count() as u64;
+        if self.batches.try_send(batch).is_err() {
+            self.dropped.fetch_add(lines, Ordering::Relaxed);
+            return;
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let mut fields = Map::new();
+            fields.insert("count".into(), dropped.into());
+            pending
+                .batch
+                .extend(line("lines_dropped", Level::Warn, fields));
+        }
+    }
+}
+
+impl LogWriter for JsonLines {
+    fn write(&self, _now: &mut DeferredNow, record: &Record<'_>) -> std::io::Result<()> {
+        let event = match record.args().as_str() {
+            Some(event) => event.to_owned(),
+            None => record.args().to_string(),
+        };
+        let mut pending = lock(&self.pending);
+        if pending.admit(&event) {
+            let mut fields = Fields(Map::new());
+            let _ = record.key_values().visit(&mut fields);
+            pending.batch.extend(line(&event, record.level(), fields.0));
+        }
+        if pending.is_due() {
+            self.hand_over(&mut pending);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> std::io::Result<()> {
+        self.hand_over(&mut lock(&self.pending));
+        Ok(())
+    }
+
+    fn max_log_level(&self) -> log::LevelFilter {
+        log::LevelFilter::Trace
+    }
+}
--- a/crates/rhubarblanding_node/src/process/mod.rs
+++ b/crates/rhubarblanding_node/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod counters;
 mod documents;
 mod homes;
+pub mod json_lines;
 pub mod logs;
 mod member;
 mod node;
--- a/crates/rhubarblanding_routing/src/lib.rs
+++ b/crates/rhubarblanding_routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! A node keeps one [`Router`](router::Router) for each service that it calls.
 
 pub mod router;
+pub mod table;
 pub mod target;
 
 /// The names that a user of this crate types daily.
--- /dev/null
+++ b/crates/rhubarblanding_routing/src/table/configuration.rs
@@ -0,0 +1,267 @@
+//! Configuration as it was decoded, and as it was checked.
+
+use std::fmt;
+use std::time::Duration;
+
+use rhubarblanding_core::names::InvalidName;
+use rhubarblanding_core::prelude::*;
+
+/// A configuration as an adapter has decoded it.
+#[derive(Clone, Debug, Default)]
+pub struct RawConfiguration {
+    /// Version; later ones are greater.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<RawRoute>,
+    /// Services.
+    pub services: Vec<RawService>,
+    /// Limits for clients.
+    pub limits: RawLimits,
+}
+
+/// A route as it was decoded.
+#[derive(Clone, Debug, Default)]
+pub struct RawRoute {
+    /// Name.
+    pub name: String,
+    /// Host, without a port.
+    pub host: String,
+    /// Prefix of the path.
+    pub path_prefix: String,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// Longest time that a client is kept waiting, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time within which an answer is worth most, in milliseconds; 0 if there is none.
+    pub objective_ms: u64,
+    /// Urgency, 0 is the most urgent.
+    pub rank: u64,
+    /// Greatest number of targets that one request may be sent to.
+    pub max_attempts: u64,
+    /// Services that share the requests.
+    pub backends: Vec<RawBackend>,
+}
+
+/// Part of a route as it was decoded.
+#[derive(Clone, Debug, Default)]
+pub struct RawBackend {
+    /// Service.
+    pub service: String,
+    /// Share of the requests, in proportion to the other weights.
+    pub weight: u64,
+}
+
+/// A service as it was decoded.
+#[derive(Clone, Debug, Default)]
+pub struct RawService {
+    /// Name.
+    pub name: String,
+    /// Greatest number of connections to one target.
+    pub max_connections: u64,
+}
+
+/// Limits as they were decoded; 0 stands for a limit that is not set.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RawLimits {
+    /// Size of the head of a request, in bytes.
+    pub header_bytes: u64,
+    /// Size of the body of a request, in bytes.
+    pub body_bytes: u64,
+    /// Time for the head of a request, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Time that a connection may be idle, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+/// Why a configuration is not valid.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigurationError {
+    /// Where the fault is, for example `routes[2].host`.
+    pub field: String,
+    /// What is wrong.
+    pub reason: String,
+}
+
+impl fmt::Display for ConfigurationError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.field, self.reason)
+    }
+}
+
+impl std::error::Error for ConfigurationError {}
+
+/// Part of a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Backend {
+    /// Service.
+    pub service: ServiceName,
+    /// Share of the requests, in proportion to the other weights.
+    pub weight: u32,
+}
+
+/// Rule that leads requests to one or more services.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Name.
+    pub name: String,
+    /// Host in lower case, without a port.
+    pub host: String,
+    /// Prefix of the path; begins and ends with a slash.
+    pub path_prefix: String,
+    /// Whether a request may run more than once.
+    pub idempotency: Idempotency,
+    /// Longest time that a client is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer is worth most.
+    pub objective: Duration,
+    /// Urgency, 0 is the most urgent.
+    pub rank: u8,
+    /// Greatest number of targets that one request may be sent to.
+    pub max_attempts: u32,
+    /// Services that share the requests, at least one of them with a weight above 0.
+    pub backends: Vec<Backend>,
+}
+
+/// What the configuration says of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceSpec {
+    /// Greatest number of connections to one target, 0 if it is not limited.
+    pub max_connections: u32,
+}
+
+/// Limits for what a client sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// Size of the head of a request, in bytes.
+    pub header_bytes: usize,
+    /// Size of the body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Time for the head of a request.
+    pub header_timeout: Duration,
+    /// Time that a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 64 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// A checked configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Configuration {
+    /// Version; later ones are greater.
+    pub version: DocVersion,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: HashMap<ServiceName, ServiceSpec>,
+    /// Limits for clients.
+    pub limits: ClientLimits,
+}
+
+fn error(field: impl Into<String>, reason: impl fmt::Display) -> ConfigurationError {
+    ConfigurationError {
+        field: field.into(),
+        reason: reason.to_string(),
+    }
+}
+
+fn service_name(field: &str, raw: String) -> Result<ServiceName, ConfigurationError> {
+    ServiceName::try_from(raw).map_err(|e: InvalidName| error(field, e))
+}
+
+impl TryFrom<RawConfiguration> for Configuration {
+    type Error = ConfigurationError;
+
+    fn try_from(raw: RawConfiguration) -> Result<Self, ConfigurationError> {
+        let mut services = HashMap::default();
+        for (i, service) in raw.services.into_iter().enumerate() {
+            let name = service_name(&format!("services[{i}].name"), service.name)?;
+            let max_connections = u32::try_from(service.max_connections).unwrap_or(u32::MAX);
+            services.insert(name, ServiceSpec { max_connections });
+        }
+        let mut routes = Vec::with_capacity(raw.routes.len());
+        for (i, route) in raw.routes.into_iter().enumerate() {
+            routes.push(check_route(&format!("routes[{i}]"), route)?);
+        }
+        Ok(Self {
+            version: DocVersion(raw.version),
+            routes,
+            services,
+            limits: raw.limits.into(),
+        })
+    }
+}
+
+fn check_route(field: &str, raw: RawRoute) -> Result<Route, ConfigurationError> {
+    if raw.host.is_empty() {
+        return Err(error(format!("{field}.host"), "must not be empty"));
+    }
+    let prefix = &raw.path_prefix;
+    if !prefix.starts_with('/') || !prefix.ends_with('/') {
+        let reason = "must begin and end with a slash";
+        return Err(error(format!("{field}.path_prefix"), reason));
+    }
+    if raw.timeout_ms == 0 {
+        return Err(error(format!("{field}.timeout"), "must be above 0"));
+    }
+    let mut backends = Vec::with_capacity(raw.backends.len());
+    for (i, backend) in raw.backends.into_iter().enumerate() {
+        let field = format!("{field}.backends[{i}]");
+        backends.push(Backend {
+            service: service_name(&format!("{field}.service"), backend.service)?,
+            weight: u32::try_from(backend.weight)
+                .map_err(|e| error(format!("{field}.weight"), e))?,
+        });
+    }
+    if backends.iter().all(|backend| backend.weight == 0) {
+        let reason = "must name a service with a weight above 0";
+        return Err(error(format!("{field}.backends"), reason));
+    }
+    let timeout = Duration::from_millis(raw.timeout_ms);
+    let objective = match raw.objective_ms {
+        0 => timeout,
+        millis => Duration::from_millis(millis).min(timeout),
+    };
+    Ok(Route {
+        name: raw.name,
+        host: raw.host.to_ascii_lowercase(),
+        path_prefix: raw.path_prefix,
+        idempotency: match raw.idempotent {
+            true => Idempotency::Idempotent,
+            false => Idempotency::NonIdempotent,
+        },
+        timeout,
+        objective,
+        rank: u8::try_from(raw.rank).unwrap_or(u8::MAX),
+        max_attempts: u32::try_from(raw.max_attempts).unwrap_or(u32::MAX).max(1),
+        backends,
+    })
+}
+
+impl From<RawLimits> for ClientLimits {
+    fn from(raw: RawLimits) -> Self {
+        let default = Self::default();
+        let bytes = |value: u64, default: usize| match value {
+            0 => default,
+            value => usize::try_from(value).unwrap_or(usize::MAX),
+        };
+        let time = |millis: u64, default: Duration| match millis {
+            0 => default,
+            millis => Duration::from_millis(millis),
+        };
+        Self {
+            header_bytes: bytes(raw.header_bytes, default.header_bytes),
+            body_bytes: bytes(raw.body_bytes, default.body_bytes),
+            header_timeout: time(raw.header_timeout_ms, default.header_timeout),
+            idle_timeout: time(raw.idle_timeout_ms, default.idle_timeout),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_routing/src/table/mod.rs
@@ -0,0 +1,15 @@
+//! Routes of one version of the operators' configuration.
+//!
+//! [`RawConfiguration`] holds what an adapter has decoded; [`Configuration`] is checked.
+//! [`RouteTable`] finds the route of a request and [`Split`] the service that serves it.
+
+mod configuration;
+mod lookup;
+mod split;
+
+pub use configuration::{
+    Backend, ClientLimits, Configuration, ConfigurationError, RawBackend, RawConfiguration,
+    RawLimits, RawRoute, RawService, Route, ServiceSpec,
+};
+pub use lookup::{RouteKey, RouteTable};
+pub use split::Split;
--- /dev/null
+++ b/crates/rhubarblanding_routing/src/table/split.rs
@@ -0,0 +1,45 @@
+//! Distribution of a route's requests over its services.
+
+use super::Route;
+
+/// Smooth weighted round robin over the services of one route.
+///
+/// Over any run of requests each service gets its share to within one request.
+#[derive(Clone, Debug)]
+pub struct Split {
+    weights: Vec<i64>,
+    credit: Vec<i64>,
+}
+
+impl Split {
+    /// Creates the distribution of `route`. Nodes that start with different `phase` values do not
+    /// choose the same service at the same time.
+    pub fn new(route: &Route, phase: u64) -> Self {
+        let weights: Vec<i64> = route.backends.iter().map(|b| i64::from(b.weight)).collect();
+        let total: i64 = weights.iter().sum();
+        let mut split = Self {
+            credit: vec![0; weights.len()],
+            weights,
+        };
+        for _ in 0..phase.checked_rem(total.max(1) as u64).unwrap_or(0) {
+            split.next_index();
+        }
+        split
+    }
+
+    /// Index of the service that gets the next request.
+    pub fn next_index(&mut self) -> usize {
+        let total: i64 = self.weights.iter().sum();
+        let mut best = 0;
+        for i in 0..self.weights.len() {
+            self.credit[i] += self.weights[i];
+            if self.credit[i] > self.credit[best] {
+                best = i;
+            }
+        }
+        if let Some(credit) = self.credit.get_mut(best) {
+            *credit -= total;
+        }
+        best
+    }
+}
--- a/crates/rhubarblanding_store/src/client/mod.rs
+++ b/crates/rhubarblanding_store/src/client/mod.rs
@@ -1,25 +1,23 @@
 //! Single calls to the key-value service.
 
-mod answer;
 mod transport;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use error_stack::Report;
-use http::{Method, StatusCode};
 
+use crate::codec::{NativeCodec, StoreCall, StoreCodec, WireAnswer};
 use crate::error::StoreError;
 use crate::key::Key;
 use crate::value::{
     CasOutcome, Lease, LeaseId, ListEntry, Revision, VALUE_MAX_BYTES, Versioned, Watched,
 };
-use answer::{GrantBody, LeaseBody, ListBody, RevisionBody};
-use transport::{Answer, Effect, Transport};
+use transport::Transport;
 
-/// Result of a call to the key-value service.
-pub type StoreResult<T> = Result<T, Report<StoreError>>;
+pub use crate::codec::StoreResult;
 
 /// Settings of a [`StoreClient`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,13 +44,21 @@
 #[derive(Clone, Debug)]
 pub struct StoreClient {
     transport: Transport,
+    codec: Arc<dyn StoreCodec>,
 }
 
 impl StoreClient {
-    /// Creates a client. No connection is opened before the first call.
+    /// Creates a client that speaks the project's own format. No connection is opened before
+    /// the first call.
     pub fn new(settings: StoreSettings) -> Self {
+        Self::with_codec(settings, Arc::new(NativeCodec))
+    }
+
+    /// Creates a client that speaks the format of `codec`.
+    pub fn with_codec(settings: StoreSettings, codec: Arc<dyn StoreCodec>) -> Self {
         Self {
             transport: Transport::new(settings),
+            codec,
         }
     }
 
@@ -62,12 +68,8 @@
     ///
     /// [`StoreError::Unavailable`] or [`StoreError::InvalidAnswer`].
     pub async fn get(&self, key: &Key) -> StoreResult<Option<Versioned>> {
-        let answer = self.read(&format!("/v1/kv/{key}")).await?;
-        match answer.status {
-            StatusCode::OK => answer.versioned().map(Some),
-            StatusCode::NOT_FOUND => Ok(None),
-            _ => Err(answer.unexpected(Effect::Read)),
-        }
+        let answer = self.call(StoreCall::Get { key: key.clone() }).await?;
+        self.codec.value(answer)
     }
 
     /// Stores `value` under `key` if the key is at revision `expected`.
@@ -82,8 +84,7 @@
         expected: Revision,
         value: Bytes,
     ) -> StoreResult<CasOutcome> {
-        self.put(format!("/v1/kv/{key}?expected={expected}"), value)
-            .await
+        self.put(key, expected, value, None).await
     }
 
     /// Stores `value` as [`compare_and_swap`](Self::compare_and_swap) does and binds it to
@@ -99,28 +100,23 @@
         value: Bytes,
         lease: LeaseId,
     ) -> StoreResult<CasOutcome> {
-        let path = format!("/v1/kv/{key}?expected={expected}&lease={}", lease.0);
-        self.put(path, value).await
+        self.put(key, expected, value, Some(lease)).await
     }
 
     /// Waits up to `wait` until `key` has a revision above `after`.
     ///
     /// # Errors
     ///
-    /// [`StoreError::Unavailable`] or [`StoreError::InvalidAnswer`].
+    /// [`StoreError::Unavailable`], [`StoreError::InvalidAnswer`], or
+    /// [`StoreError::HistoryGone`], after which the key has to be read.
     pub async fn watch(&self, key: &Key, after: Revision, wait: Duration) -> StoreResult<Watched> {
-        let millis = wait.as_millis();
-        let path = format!("/v1/watch/{key}?after={after}&wait_ms={millis}");
-        let answer = self
-            .transport
-            .call(Method::GET, &path, Bytes::new(), Effect::Read, wait)
-            .await?;
-        match answer.status {
-            StatusCode::OK => answer.versioned().map(Watched::Changed),
-            StatusCode::NOT_FOUND => answer.revision().map(Watched::Removed),
-            StatusCode::NO_CONTENT => Ok(Watched::Unchanged),
-            _ => Err(answer.unexpected(Effect::Read)),
-        }
+        let call = StoreCall::Watch {
+            key: key.clone(),
+            after,
+            wait,
+        };
+        let answer = self.call(call).await?;
+        self.codec.watched(key, answer)
     }
 
     /// Asks for a new lease of length `ttl`.
@@ -130,7 +126,8 @@
     /// [`StoreError::Unavailable`], or [`StoreError::AnswerLost`], after which a lease may exist
     /// that nobody holds; it lapses by itself.
     pub async fn grant_lease(&self, ttl: Duration) -> StoreResult<Lease> {
-        self.lease(None, ttl).await
+        let answer = self.call(StoreCall::Grant { ttl }).await?;
+        self.codec.lease(None, answer)
     }
 
     /// Extends `lease` to `ttl` from now.
@@ -139,7 +136,8 @@
     ///
     /// As for [`grant_lease`](Self::grant_lease), and [`StoreError::LeaseLapsed`].
     pub async fn renew_lease(&self, lease: LeaseId, ttl: Duration) -> StoreResult<Lease> {
-        self.lease(Some(lease), ttl).await
+        let answer = self.call(StoreCall::Renew { lease, ttl }).await?;
+        self.codec.lease(Some(lease), answer)
     }
 
     /// Lists the keys that begin with `prefix`, in order.
@@ -148,65 +146,50 @@
     ///
     /// [`StoreError::Unavailable`] or [`StoreError::InvalidAnswer`].
     pub async fn list(&self, prefix: &Key) -> StoreResult<Vec<ListEntry>> {
-        let answer = self.read(&format!("/v1/list?prefix={prefix}")).await?;
-        if answer.status != StatusCode::OK {
-            return Err(answer.unexpected(Effect::Read));
+        let mut entries: Vec<ListEntry> = Vec::new();
+        loop {
+            let after = entries.last().map(|entry| Key::try_from(&*entry.key));
+            let call = StoreCall::List {
+                prefix: prefix.clone(),
+                after: after.transpose().map_err(|e| {
+                    Report::new(StoreError::InvalidAnswer).attach(format!("key {e}"))
+                })?,
+            };
+            let page = self.codec.page(self.call(call).await?)?;
+            let is_last = !page.more || page.entries.is_empty();
+            entries.extend(page.entries);
+            if is_last {
+                return Ok(entries);
+            }
         }
-        let body: ListBody = answer.json(Effect::Read)?;
-        Ok(body.entries)
-    }
-
-    async fn read(&self, path: &str) -> StoreResult<Answer> {
-        self.transport
-            .call(
-                Method::GET,
-                path,
-                Bytes::new(),
-                Effect::Read,
-                Duration::ZERO,
-            )
-            .await
     }
 
-    async fn put(&self, path: String, value: Bytes) -> StoreResult<CasOutcome> {
+    async fn put(
+        &self,
+        key: &Key,
+        expected: Revision,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> StoreResult<CasOutcome> {
         if value.len() > VALUE_MAX_BYTES {
             return Err(Report::new(StoreError::ValueTooLarge));
         }
-        let answer = self
-            .transport
-            .call(Method::PUT, &path, value, Effect::Write, Duration::ZERO)
-            .await?;
-        let revision = |answer: &Answer| {
-            answer
-                .json::<RevisionBody>(Effect::Write)
-                .map(|body| body.revision)
+        let call = StoreCall::Put {
+            key: key.clone(),
+            expected,
+            value,
+            lease,
         };
-        match answer.status {
-            StatusCode::OK => revision(&answer).map(CasOutcome::Stored),
-            StatusCode::CONFLICT => revision(&answer).map(CasOutcome::Conflict),
-            StatusCode::PAYLOAD_TOO_LARGE => Err(Report::new(StoreError::ValueTooLarge)),
-            StatusCode::GONE => Err(Report::new(StoreError::LeaseLapsed)),
-            _ => Err(answer.unexpected(Effect::Write)),
-        }
+        let answer = self.call(call).await?;
+        self.codec.swapped(answer)
     }
 
-    async fn lease(&self, lease: Option<LeaseId>, ttl: Duration) -> StoreResult<Lease> {
-        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
-        let body = LeaseBody { lease, ttl_ms }.to_bytes();
-        let answer = self
-            .transport
-            .call(
-                Method::POST,
-                "/v1/lease",
-                body,
-                Effect::Write,
-                Duration::ZERO,
-            )
-            .await?;
-        match answer.status {
-            StatusCode::OK => answer.json(Effect::Write).map(GrantBody::into_lease),
-            StatusCode::GONE => Err(Report::new(StoreError::LeaseLapsed)),
-            _ => Err(answer.unexpected(Effect::Write)),
-        }
+    async fn call(&self, call: StoreCall) -> StoreResult<WireAnswer> {
+        let wait = match call {
+            StoreCall::Watch { wait, .. } => wait,
+            _ => Duration::ZERO,
+        };
+        let wire = self.codec.encode(&call);
+        self.transport.call(wire, call.effect(), wait).await
     }
 }
--- /dev/null
+++ b/crates/rhubarblanding_store/src/codec/native.rs
@@ -0,0 +1,136 @@
+//! The project's own wire format.
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use http::{Method, StatusCode};
+
+use super::body::{GrantBody, LeaseBody, ListBody, RevisionBody};
+use super::{StoreCall, StoreCodec, StoreResult, WireAnswer, WireCall};
+use crate::error::StoreError;
+use crate::key::Key;
+use crate::value::{CasOutcome, Lease, LeaseId, ListPage, Revision, Versioned, Watched};
+
+/// Header that carries the revision of a value.
+const REVISION_HEADER: &str = "x-revision";
+
+/// The project's own wire format.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NativeCodec;
+
+fn plain(method: Method, path: String, body: Bytes) -> WireCall {
+    WireCall {
+        method,
+        path,
+        content_type: None,
+        body,
+    }
+}
+
+fn put_path(key: &Key, expected: Revision, lease: Option<LeaseId>) -> String {
+    match lease {
+        Some(lease) => format!("/v1/kv/{key}?expected={expected}&lease={}", lease.0),
+        None => format!("/v1/kv/{key}?expected={expected}"),
+    }
+}
+
+fn lease_body(lease: Option<LeaseId>, ttl: std::time::Duration) -> Bytes {
+    let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+    LeaseBody { lease, ttl_ms }.to_bytes()
+}
+
+fn revision(answer: &WireAnswer) -> StoreResult<Revision> {
+    answer
+        .headers
+        .get(REVISION_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .map(Revision)
+        .ok_or_else(|| Report::new(StoreError::InvalidAnswer))
+        .attach("no valid revision header")
+}
+
+fn versioned(answer: WireAnswer) -> StoreResult<Versioned> {
+    Ok(Versioned {
+        revision: revision(&answer)?,
+        value: answer.body,
+    })
+}
+
+impl StoreCodec for NativeCodec {
+    fn encode(&self, call: &StoreCall) -> WireCall {
+        match call {
+            StoreCall::Get { key } => plain(Method::GET, format!("/v1/kv/{key}"), Bytes::new()),
+            StoreCall::Put {
+                key,
+                expected,
+                value,
+                lease,
+            } => plain(Method::PUT, put_path(key, *expected, *lease), value.clone()),
+            StoreCall::Watch { key, after, wait } => {
+                let millis = wait.as_millis();
+                let path = format!("/v1/watch/{key}?after={after}&wait_ms={millis}");
+                plain(Method::GET, path, Bytes::new())
+            }
+            StoreCall::Grant { ttl } => {
+                plain(Method::POST, "/v1/lease".into(), lease_body(None, *ttl))
+            }
+            StoreCall::Renew { lease, ttl } => plain(
+                Method::POST,
+                "/v1/lease".into(),
+                lease_body(Some(*lease), *ttl),
+            ),
+            StoreCall::List { prefix, .. } => plain(
+                Method::GET,
+                format!("/v1/list?prefix={prefix}"),
+                Bytes::new(),
+            ),
+        }
+    }
+
+    fn value(&self, answer: WireAnswer) -> StoreResult<Option<Versioned>> {
+        match answer.status {
+            StatusCode::OK => versioned(answer).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(answer.unexpected()),
+        }
+    }
+
+    fn swapped(&self, answer: WireAnswer) -> StoreResult<CasOutcome> {
+        let revision = |answer: &WireAnswer| answer.json::<RevisionBody>().map(|b| b.revision);
+        match answer.status {
+            StatusCode::OK => revision(&answer).map(CasOutcome::Stored),
+            StatusCode::CONFLICT => revision(&answer).map(CasOutcome::Conflict),
+            StatusCode::PAYLOAD_TOO_LARGE => Err(Report::new(StoreError::ValueTooLarge)),
+            StatusCode::GONE => Err(Report::new(StoreError::LeaseLapsed)),
+            _ => Err(answer.unexpected()),
+        }
+    }
+
+    fn watched(&self, _key: &Key, answer: WireAnswer) -> StoreResult<Watched> {
+        match answer.status {
+            StatusCode::OK => versioned(answer).map(Watched::Changed),
+            StatusCode::NOT_FOUND => revision(&answer).map(Watched::Removed),
+            StatusCode::NO_CONTENT => Ok(Watched::Unchanged(Revision::ABSENT)),
+            _ => Err(answer.unexpected()),
+        }
+    }
+
+    fn lease(&self, _renewed: Option<LeaseId>, answer: WireAnswer) -> StoreResult<Lease> {
+        match answer.status {
+            StatusCode::OK => answer.json().map(GrantBody::into_lease),
+            StatusCode::GONE => Err(Report::new(StoreError::LeaseLapsed)),
+            _ => Err(answer.unexpected()),
+        }
+    }
+
+    fn page(&self, answer: WireAnswer) -> StoreResult<ListPage> {
+        if answer.status != StatusCode::OK {
+            return Err(answer.unexpected());
+        }
+        let body: ListBody = answer.json().change_context(StoreError::InvalidAnswer)?;
+        Ok(ListPage {
+            entries: body.entries,
+            more: false,
+        })
+    }
+}
--- a/crates/rhubarblanding_store/src/error.rs
+++ b/crates/rhubarblanding_store/src/error.rs
@@ -16,6 +16,8 @@
     ValueTooLarge,
     /// The lease lapsed or never existed.
     LeaseLapsed,
+    /// The changes since the revision that a watch asked for are no longer kept.
+    HistoryGone,
     /// The service called the request malformed, or answered a read with something that is not
     /// part of its protocol. Nothing was applied.
     InvalidAnswer,
@@ -28,6 +30,7 @@
             Self::AnswerLost => "the answer was lost; the call may have been applied",
             Self::ValueTooLarge => "the value is larger than the key-value service holds",
             Self::LeaseLapsed => "the lease has lapsed",
+            Self::HistoryGone => "the history after this revision is no longer kept",
             Self::InvalidAnswer => "the key-value service gave an answer that is not understood",
         })
     }
--- a/crates/rhubarblanding_store/src/lib.rs
+++ b/crates/rhubarblanding_store/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod backoff;
 pub mod client;
+pub mod codec;
 pub mod error;
 pub mod key;
 pub mod value;
@@ -26,7 +27,7 @@
 pub use client::{StoreClient, StoreSettings};
 pub use error::StoreError;
 pub use key::Key;
-pub use value::{CasOutcome, Lease, LeaseId, ListEntry, Revision, Versioned, Watched};
+pub use value::{CasOutcome, Lease, LeaseId, ListEntry, ListPage, Revision, Versioned, Watched};
 pub use watch::{WatchLoop, WatchSettings};
 
 /// The names that a user of this crate types daily.
@@ -34,6 +35,8 @@
     pub use crate::client::{StoreClient, StoreSettings};
     pub use crate::error::StoreError;
     pub use crate::key::Key;
-    pub use crate::value::{CasOutcome, Lease, LeaseId, ListEntry, Revision, Versioned, Watched};
+    pub use crate::value::{
+        CasOutcome, Lease, LeaseId, ListEntry, ListPage, Revision, Versioned, Watched,
+    };
     pub use crate::watch::{WatchLoop, WatchSettings};
 }
--- a/crates/rhubarblanding_store/src/value.rs
+++ b/crates/rhubarblanding_store/src/value.rs
@@ -52,8 +52,9 @@
     Changed(Versioned),
     /// The key was removed at this revision.
     Removed(Revision),
-    /// Nothing changed within the time waited.
-    Unchanged,
+    /// Nothing changed within the time waited. Holds the revision up to which the service has
+    /// looked, [`Revision::ABSENT`] if it does not say.
+    Unchanged(Revision),
 }
 
 /// Identifier of a lease.
@@ -79,3 +80,12 @@
     /// Revision of its value.
     pub revision: Revision,
 }
+
+/// One page of a listing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListPage {
+    /// Keys in order.
+    pub entries: Vec<ListEntry>,
+    /// Whether another page follows.
+    pub more: bool,
+}
--- a/crates/rhubarblanding_store/src/watch/mod.rs
+++ b/crates/rhubarblanding_store/src/watch/mod.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use error_stack::Report;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
 use crate::backoff::{Backoff, BackoffSettings};
-use crate::client::StoreClient;
+use crate::client::{StoreClient, StoreResult};
+use crate::error::StoreError;
 use crate::key::Key;
 use crate::value::{Revision, Versioned, Watched};
 
@@ -48,7 +50,11 @@
     settings: WatchSettings,
     rng: SmallRng,
     backoff: Backoff,
+    /// Newest revision of the key that was yielded.
     after: Revision,
+    /// Revision of the service up to which changes are known.
+    position: Revision,
+    read_first: bool,
     reachable: bool,
 }
 
@@ -62,6 +68,8 @@
             rng: SmallRng::seed_from_u64(seed),
             backoff: Backoff::new(settings.backoff),
             after: Revision::ABSENT,
+            position: Revision::ABSENT,
+            read_first: true,
             reachable: true,
         }
     }
@@ -77,11 +85,7 @@
     pub async fn next(&mut self) -> WatchEvent {
         loop {
             let began = Instant::now();
-            let watched = self
-                .client
-                .watch(&self.key, self.after, self.settings.wait)
-                .await;
-            match watched {
+            match self.call().await {
                 Ok(watched) => {
                     self.note_answer();
                     if let Some(event) = self.advance(watched) {
@@ -95,6 +99,25 @@
         }
     }
 
+    /// Reads the key where nothing of it is known, else waits for its next change.
+    async fn call(&mut self) -> StoreResult<Watched> {
+        if !self.read_first {
+            let watched = self
+                .client
+                .watch(&self.key, self.position, self.settings.wait);
+            let watched = watched.await;
+            let gone =
+                |report: &Report<StoreError>| *report.current_context() == StoreError::HistoryGone;
+            if !watched.as_ref().is_err_and(gone) {
+                return watched;
+            }
+            self.read_first = true;
+        }
+        let value = self.client.get(&self.key).await?;
+        self.read_first = false;
+        Ok(value.map_or(Watched::Unchanged(Revision::ABSENT), Watched::Changed))
+    }
+
     /// Waits before the next call, unless the service itself has waited. A service that fails
     /// or answers at once without news must not be called in a tight loop.
     async fn pause(&mut self, began: Instant) {
@@ -112,8 +135,12 @@
         let (revision, event) = match watched {
             Watched::Changed(new) => (new.revision, WatchEvent::Changed(new)),
             Watched::Removed(revision) => (revision, WatchEvent::Removed(revision)),
-            Watched::Unchanged => return None,
+            Watched::Unchanged(position) => {
+                self.position = self.position.max(position);
+                return None;
+            }
         };
+        self.position = self.position.max(revision);
         if revision <= self.after {
             return None;
         }
--- a/crates/rhubarblanding_store/tests/client.rs
+++ b/crates/rhubarblanding_store/tests/client.rs
@@ -235,7 +235,7 @@
     assert_that!(server.calls().watch, eq(1));
     let wait = Duration::from_millis(20);
     let quiet = client.watch(&key(), Revision(2), wait).await;
-    assert_that!(quiet, ok(eq(&Watched::Unchanged)));
+    assert_that!(quiet, ok(eq(&Watched::Unchanged(Revision::ABSENT))));
 }
 
 #[tokio::test]
--- /dev/null
+++ b/src/mesh_command.rs
@@ -0,0 +1,112 @@
+//! The `mesh` subcommand: runs a node with the settings of the users' platform.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use error_stack::{Report, ResultExt};
+use rhubarblanding_mesh::prelude::Mesh;
+use rhubarblanding_mesh::settings::MeshSettings;
+use rhubarblanding_node::process::json_lines;
+use rhubarblanding_platform::Platform;
+
+/// Exit code for settings that do not hold allowed values.
+const EXIT_BAD_SETTINGS: u8 = 2;
+/// Exit code for a node that could not be started.
+const EXIT_NOT_STARTED: u8 = 1;
+/// Port for metrics unless another is given.
+const METRICS_PORT: &str = "9464";
+
+/// Definition of the subcommand.
+pub fn command() -> Command {
+    Command::new("mesh")
+        .about("Runs a node beside a target of the users' platform")
+        .long_about(
+            "Runs a node beside a target of the users' platform. Its settings are read from the \
+             file that the platform names in the environment, and read again when it changes.",
+        )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .env("RHUBARBLANDING_METRICS_PORT")
+                .default_value(METRICS_PORT)
+                .value_parser(value_parser!(u16))
+                .help("Port on the host's address for metrics as text"),
+        )
+        .arg(
+            Arg::new("log-level")
+                .long("log-level")
+                .env("RHUBARBLANDING_LOG_LEVEL")
+                .default_value("info")
+                .value_parser(["error", "warn", "info", "debug", "trace"])
+                .help("Least urgent log lines that are written"),
+        )
+}
+
+#[derive(Clone, Copy, Debug)]
+enum SetupError {
+    Logger,
+    Runtime,
+    Node,
+}
+
+impl std::fmt::Display for SetupError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Logger => "the log cannot be opened",
+            Self::Runtime => "the runtime cannot be started",
+            Self::Node => "the node cannot be started",
+        })
+    }
+}
+
+impl std::error::Error for SetupError {}
+
+/// Runs the node and returns the exit code of the process.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let metrics_port = matches
+        .get_one::<u16>("metrics-port")
+        .copied()
+        .unwrap_or_default();
+    let level = matches
+        .get_one::<String>("log-level")
+        .and_then(|level| level.parse().ok())
+        .unwrap_or(log::LevelFilter::Info);
+    let settings = match rhubarblanding_platform::read(metrics_port) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    };
+    match start(settings, metrics_port, level) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::from(EXIT_NOT_STARTED)
+        }
+    }
+}
+
+fn start(
+    settings: MeshSettings,
+    metrics_port: u16,
+    level: log::LevelFilter,
+) -> Result<(), Report<SetupError>> {
+    let logger = json_lines::start(level).change_context(SetupError::Logger)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(SetupError::Runtime)?;
+    let result = runtime.block_on(async {
+        let dialect = Arc::new(Platform::default());
+        let source = Box::new(move || {
+            rhubarblanding_platform::read(metrics_port).map_err(|e| e.to_string())
+        });
+        let mesh = Mesh::start(settings, dialect, source).change_context(SetupError::Node)?;
+        mesh.run().await;
+        Ok(())
+    });
+    logger.flush();
+    result
+}
