Read the configuration anew after a watch that failed

Ruled out: back-off (at most 0.8 s), gossip (all nodes missed it alike). Change: a failed watch is followed by a read.

Test: loop_reads_the_key_after_a_watch_was_cut failed before.

--- /dev/null
+++ b/crates/rhubarblanding_admission/tests/slots/main.rs
@@ -0,0 +1,127 @@
+//! The gate in front of announced slots: order, refusals and late requests.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rhubarblanding_admission::slots::{
+    KindKey, SlotArrival, SlotDecision, SlotGate, SlotSettings, SlotVerdict,
+};
+use rhubarblanding_core::prelude::*;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn arrival(id: u64, rank: u8, objective: u64, deadline: u64) -> SlotArrival {
+    SlotArrival {
+        id,
+        rank,
+        kind: KindKey(0),
+        objective: at(objective),
+        deadline: at(deadline),
+    }
+}
+
+fn gate(slots: u32) -> SlotGate {
+    let mut gate = SlotGate::new(SlotSettings::default());
+    gate.set_slots(at(0), slots);
+    gate
+}
+
+/// A gate of one slot that learned that a request holds it for 10 ms, with one running.
+fn busy_gate() -> SlotGate {
+    let mut gate = gate(1);
+    for id in 100..200 {
+        gate.arrive(at(0), arrival(id, 0, 1_000, 5_000));
+        gate.finished(at(10), id, true);
+    }
+    assert_that!(
+        gate.arrive(at(10), arrival(1, 0, 1_000, 5_000)),
+        eq(SlotDecision::Admitted)
+    );
+    gate
+}
+
+#[test]
+fn no_more_run_than_there_are_slots() {
+    let mut gate = gate(2);
+    let decisions: Vec<_> = (1..=3)
+        .map(|id| gate.arrive(at(0), arrival(id, 0, 1_000, 5_000)))
+        .collect();
+    let expected = [
+        SlotDecision::Admitted,
+        SlotDecision::Admitted,
+        SlotDecision::Queued,
+    ];
+    assert_that!(decisions, eq(&expected.to_vec()));
+    gate.finished(at(5), 1, true);
+    assert_that!(gate.poll(at(5)), eq(&vec![SlotVerdict::Admitted(3)]));
+}
+
+#[test]
+fn more_urgent_requests_get_the_next_slot() {
+    let mut gate = busy_gate();
+    gate.arrive(at(10), arrival(2, 2, 1_000, 5_000));
+    gate.arrive(at(11), arrival(3, 0, 1_000, 5_000));
+    gate.finished(at(20), 1, true);
+    assert_that!(gate.poll(at(20)), eq(&vec![SlotVerdict::Admitted(3)]));
+}
+
+#[test]
+fn among_equals_the_first_objective_goes_first() {
+    let mut gate = busy_gate();
+    gate.arrive(at(10), arrival(2, 0, 900, 5_000));
+    gate.arrive(at(11), arrival(3, 0, 400, 5_000));
+    gate.finished(at(20), 1, true);
+    assert_that!(gate.poll(at(20)), eq(&vec![SlotVerdict::Admitted(3)]));
+}
+
+/// A burst must not make requests wait that would miss their objective anyway.
+#[test]
+fn request_that_would_wait_too_long_is_refused_at_once() {
+    let mut gate = busy_gate();
+    gate.arrive(at(10), arrival(2, 0, 1_000, 5_000));
+    gate.arrive(at(10), arrival(3, 0, 1_000, 5_000));
+    let decision = gate.arrive(at(10), arrival(4, 0, 30, 5_000));
+    assert_that!(decision, pat!(SlotDecision::Refused(anything())));
+    let SlotDecision::Refused(refusal) = decision else {
+        return;
+    };
+    assert_that!(refusal.kind, eq(ErrorKind::Overloaded));
+    assert_that!(refusal.retry_after, some(ge(Duration::from_millis(10))));
+}
+
+/// Work that can no longer make its objective yields to work that can, but is not forgotten.
+#[test]
+fn late_request_waits_behind_those_in_time() {
+    let mut gate = busy_gate();
+    gate.arrive(at(10), arrival(2, 0, 50, 5_000));
+    assert_that!(gate.poll(at(60)), eq(&vec![]));
+    gate.arrive(at(61), arrival(3, 2, 1_000, 5_000));
+    gate.finished(at(70), 1, true);
+    assert_that!(gate.poll(at(70)), eq(&vec![SlotVerdict::Admitted(3)]));
+    gate.finished(at(80), 3, true);
+    assert_that!(gate.poll(at(80)), eq(&vec![SlotVerdict::Admitted(2)]));
+}
+
+#[test]
+fn request_whose_deadline_cannot_be_met_is_refused() {
+    let mut gate = busy_gate();
+    gate.arrive(at(10), arrival(2, 0, 50, 100));
+    gate.poll(at(60));
+    let verdicts = gate.poll(at(100));
+    assert_that!(
+        verdicts,
+        elements_are![pat!(SlotVerdict::Refused(eq(&2), anything()))]
+    );
+}
+
+#[test]
+fn cancelled_requests_leave_queue_and_slot() {
+    let mut gate = busy_gate();
+    gate.arrive(at(10), arrival(2, 0, 1_000, 5_000));
+    gate.arrive(at(10), arrival(3, 0, 1_000, 5_000));
+    gate.cancelled(at(11), 2);
+    gate.cancelled(at(12), 1);
+    assert_that!(gate.poll(at(12)), eq(&vec![SlotVerdict::Admitted(3)]));
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/tests/hop.rs
@@ -0,0 +1,52 @@
+//! Headers between nodes survive their text form, and other text is refused.
+
+#![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rhubarblanding_admission::slots::KindKey;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_mesh::request::{HopHeader, HopResult, HopStatus, InvalidHop};
+
+#[test]
+fn request_header_survives_its_text_form() {
+    let header = HopHeader {
+        service: ServiceName::try_from("turnos").expect("a name"),
+        deadline: Duration::from_millis(4_999),
+        objective: Duration::from_millis(1_200),
+        rank: 2,
+        kind: KindKey(0xfeed),
+        host: "a;b.example:80".to_owned(),
+    };
+    assert_that!(HopHeader::try_from(&*header.to_string()), ok(eq(&header)));
+}
+
+#[test]
+fn answer_header_survives_its_text_form() {
+    let status = HopStatus {
+        result: HopResult::Refused,
+        refusal: Refusal::with_retry_after(ErrorKind::Overloaded, Duration::from_millis(70)),
+        load: LoadReport {
+            in_flight: 1,
+            queued: 2,
+            limit: 3,
+            draining: true,
+            ..LoadReport::default()
+        },
+    };
+    assert_that!(HopStatus::try_from(&*status.to_string()), ok(eq(status)));
+}
+
+fn is_refused(raw: &str) {
+    assert_that!(HopHeader::try_from(raw), err(eq(&InvalidHop)));
+    assert_that!(HopStatus::try_from(raw), err(eq(InvalidHop)));
+}
+
+rhubarblanding_core::cases! {
+    is_refused;
+    empty: ("");
+    too_few_fields: ("turnos;1;2");
+    negative_time: ("turnos;-1;2;0;0;h");
+    unknown_result: ("perhaps;overloaded;0;0;0;0;0");
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/tests/instance.rs
@@ -0,0 +1,134 @@
+//! Which life of a target takes requests, under late, repeated and foreign reports.
+
+#![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_mesh::dialect::{
+    InstanceId, InstanceLeave, InstanceLife, InstanceReport, ReportedState,
+};
+use rhubarblanding_mesh::process::{InstanceTracker, LeaveVerdict, ReportVerdict};
+
+const NOW: MonoTime = MonoTime::ZERO;
+
+fn service() -> ServiceName {
+    ServiceName::try_from("turnos").expect("a name")
+}
+
+fn life(id: &str, born: u64) -> InstanceLife {
+    InstanceLife {
+        born: UnixMillis(born),
+        id: InstanceId(id.into()),
+    }
+}
+
+fn beat(id: &str, born: u64, sequence: u64, state: ReportedState) -> InstanceReport {
+    InstanceReport {
+        life: life(id, born),
+        service: service(),
+        slots: 10,
+        state,
+        warmup: Duration::ZERO,
+        sequence,
+    }
+}
+
+fn ready(id: &str, born: u64, sequence: u64) -> InstanceReport {
+    beat(id, born, sequence, ReportedState::Ready)
+}
+
+fn leaving(id: &str, born: Option<u64>) -> InstanceLeave {
+    InstanceLeave {
+        id: InstanceId(id.into()),
+        born: born.map(UnixMillis),
+    }
+}
+
+/// Takes in all reports; the last one must get `expected`, after which `serving` is the life that
+/// takes requests.
+fn reports_end_with(
+    reports: &[InstanceReport],
+    expected: ReportVerdict,
+    serving: Option<InstanceLife>,
+) {
+    let mut tracker = InstanceTracker::default();
+    let verdict = reports
+        .iter()
+        .map(|report| tracker.report(NOW, &service(), report))
+        .last();
+    assert_that!(verdict, some(eq(expected)));
+    assert_that!(tracker.serving().cloned(), eq(&serving));
+}
+
+rhubarblanding_core::cases! {
+    reports_end_with;
+    first_report: (&[ready("a", 5, 1)], ReportVerdict::NewLife, Some(life("a", 5)));
+    next_report: (
+        &[ready("a", 5, 1), ready("a", 5, 2)], ReportVerdict::Unchanged, Some(life("a", 5))
+    );
+    repeated_report: (
+        &[ready("a", 5, 2), ready("a", 5, 2)], ReportVerdict::Stale, Some(life("a", 5))
+    );
+    late_report_of_an_earlier_life: (
+        &[ready("b", 9, 1), ready("a", 5, 7)], ReportVerdict::Stale, Some(life("b", 9))
+    );
+    same_name_born_anew: (
+        &[ready("a", 5, 70), ready("a", 9, 1)], ReportVerdict::NewLife, Some(life("a", 9))
+    );
+    draining_life_is_not_revived: (
+        &[
+            ready("a", 5, 1),
+            beat("a", 5, 3, ReportedState::Draining),
+            ready("a", 5, 4),
+        ],
+        ReportVerdict::Unchanged, None
+    );
+    late_ready_after_draining: (
+        &[beat("a", 5, 3, ReportedState::Draining), ready("a", 5, 2)], ReportVerdict::Stale, None
+    );
+    new_life_after_draining: (
+        &[beat("a", 5, 3, ReportedState::Draining), ready("b", 6, 1)],
+        ReportVerdict::NewLife, Some(life("b", 6))
+    );
+}
+
+#[test]
+fn report_of_another_service_names_no_target() {
+    let mut tracker = InstanceTracker::default();
+    let other = ServiceName::try_from("egresos").expect("a name");
+    let verdict = tracker.report(NOW, &other, &ready("a", 5, 1));
+    assert_that!(verdict, eq(ReportVerdict::OtherService));
+    assert_that!(tracker.serving(), none());
+}
+
+fn late_report_after_leaving(leave: InstanceLeave, expected: LeaveVerdict) {
+    let mut tracker = InstanceTracker::default();
+    tracker.report(NOW, &service(), &ready("a", 5, 1));
+    assert_that!(tracker.leave(&leave), eq(&expected));
+    tracker.report(NOW, &service(), &ready("a", 5, 2));
+    assert_that!(
+        tracker.serving().is_none(),
+        eq(expected != LeaveVerdict::Unknown)
+    );
+}
+
+rhubarblanding_core::cases! {
+    late_report_after_leaving;
+    leaves_with_its_start: (leaving("a", Some(5)), LeaveVerdict::Left(life("a", 5)));
+    leaves_without_its_start: (leaving("a", None), LeaveVerdict::Left(life("a", 5)));
+    another_leaves: (leaving("b", None), LeaveVerdict::Unknown);
+}
+
+/// A node that was started anew knows from the key-value service which lives left.
+#[test]
+fn life_that_left_before_the_start_is_not_revived() {
+    let mut tracker = InstanceTracker::default();
+    tracker.depart(life("a", 5));
+    let verdict = tracker.report(NOW, &service(), &ready("a", 5, 9));
+    assert_that!(verdict, eq(ReportVerdict::Departed));
+    assert_that!(tracker.serving(), none());
+    let verdict = tracker.report(NOW, &service(), &ready("a", 6, 1));
+    assert_that!(verdict, eq(ReportVerdict::NewLife));
+}
--- /dev/null
+++ b/crates/rhubarblanding_routing/tests/table.rs
@@ -0,0 +1,111 @@
+//! Routes: checks, lookup by host and longest prefix, and weighted shares.
+
+use googletest::prelude::*;
+use rhubarblanding_routing::table::{
+    Configuration, RawBackend, RawConfiguration, RawRoute, RouteTable, Split,
+};
+
+fn route(host: &str, prefix: &str, backends: &[(&str, u64)]) -> RawRoute {
+    RawRoute {
+        name: format!("{host}{prefix}"),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        idempotent: true,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        rank: 0,
+        max_attempts: 2,
+        backends: backends
+            .iter()
+            .map(|(service, weight)| RawBackend {
+                service: (*service).to_owned(),
+                weight: *weight,
+            })
+            .collect(),
+    }
+}
+
+fn table(routes: Vec<RawRoute>) -> RouteTable {
+    let raw = RawConfiguration {
+        version: 1,
+        routes,
+        ..RawConfiguration::default()
+    };
+    RouteTable::new(Configuration::try_from(raw).unwrap_or_default())
+}
+
+fn finds(host: &str, path: &str, expected: Option<&str>) {
+    let table = table(vec![
+        route("a.example", "/", &[("root", 1)]),
+        route("a.example", "/x/", &[("short", 1)]),
+        route("a.example", "/x/y/", &[("long", 1)]),
+        route("b.example", "/x/", &[("other", 1)]),
+    ]);
+    let found = table.find(host, path).and_then(|key| table.route(key));
+    let service = found.map(|route| route.backends[0].service.as_str());
+    assert_that!(service, eq(expected));
+}
+
+rhubarblanding_core::cases! {
+    finds;
+    longest_prefix: ("a.example", "/x/y/z", Some("long"));
+    shorter_prefix: ("a.example", "/x/yz", Some("short"));
+    prefix_itself: ("a.example", "/x/", Some("short"));
+    without_the_closing_slash: ("a.example", "/x", Some("root"));
+    another_host: ("b.example", "/x/1", Some("other"));
+    no_prefix_of_the_host: ("b.example", "/y/", None);
+    unknown_host: ("c.example", "/x/", None);
+    host_with_port: ("a.example:8080", "/x/1", Some("short"));
+    host_in_capitals: ("A.Example", "/x/1", Some("short"));
+}
+
+fn is_rejected(change: fn(&mut RawRoute), field: &str) {
+    let mut raw = route("a.example", "/", &[("root", 1)]);
+    change(&mut raw);
+    let raw = RawConfiguration {
+        routes: vec![raw],
+        ..RawConfiguration::default()
+    };
+    let error = Configuration::try_from(raw).map_err(|e| e.field);
+    assert_that!(error, err(eq(field)));
+}
+
+rhubarblanding_core::cases! {
+    is_rejected;
+    no_host: (|r| r.host.clear(), "routes[0].host");
+    prefix_without_slash: (|r| r.path_prefix = "/x".into(), "routes[0].path_prefix");
+    no_timeout: (|r| r.timeout_ms = 0, "routes[0].timeout");
+    no_backend: (|r| r.backends.clear(), "routes[0].backends");
+    no_weight: (|r| r.backends[0].weight = 0, "routes[0].backends");
+    bad_service: (|r| r.backends[0].service = "A B".into(), "routes[0].backends[0].service");
+}
+
+/// Each part has its share to within one request, whatever the length of the run.
+fn shares_are_exact(weights: &[u64], phase: u64) {
+    let backends: Vec<(&str, u64)> = weights.iter().map(|w| ("s", *w)).collect();
+    let table = table(vec![route("a.example", "/", &backends)]);
+    let key = table.find("a.example", "/");
+    let Some(route) = key.and_then(|key| table.route(key)) else {
+        return assert_that!(key, some(anything()));
+    };
+    let mut split = Split::new(route, phase);
+    let total: u64 = weights.iter().sum();
+    let mut counts = vec![0u64; weights.len()];
+    for n in 1..=3 * total {
+        counts[split.next_index()] += 1;
+        for (count, weight) in counts.iter().zip(weights) {
+            let due = (n * weight) as f64 / total as f64;
+            assert_that!((*count as f64 - due).abs(), le(2.0));
+        }
+    }
+    let expected: Vec<u64> = weights.iter().map(|w| 3 * w).collect();
+    assert_that!(counts, eq(&expected));
+}
+
+rhubarblanding_core::cases! {
+    shares_are_exact;
+    ninety_to_ten: (&[90, 10], 0);
+    three_parts: (&[5, 1, 1], 3);
+    one_part: (&[7], 2);
+    a_part_without_weight: (&[0, 3], 1);
+}
--- a/crates/rhubarblanding_store/src/watch/mod.rs
+++ b/crates/rhubarblanding_store/src/watch/mod.rs
@@ -93,7 +93,11 @@
                         return event;
                     }
                 }
-                Err(report) => self.note_failure(&report.current_context().to_string()),
+                Err(report) => {
+                    // Changes may have been missed, and the history of them dropped.
+                    self.read_first = true;
+                    self.note_failure(&report.current_context().to_string());
+                }
             }
             self.pause(began).await;
         }
--- a/crates/rhubarblanding_store/tests/watch_loop.rs
+++ b/crates/rhubarblanding_store/tests/watch_loop.rs
@@ -12,6 +12,8 @@
 use rhubarblanding_store::backoff::{Backoff, BackoffSettings};
 use rhubarblanding_store::prelude::*;
 use rhubarblanding_store::watch::WatchEvent;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 const SETTINGS: BackoffSettings = BackoffSettings {
     first: Duration::from_millis(10),
@@ -118,3 +120,50 @@
     assert_that!(waited, err(anything()));
     assert_that!(server.calls().watch, le(20));
 }
+
+/// Answers each connection's single request: reads give revision 1 until a watch was cut, then
+/// revision 2; a second watch is never answered.
+async fn forgetful_service() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let mut watches = 0;
+        let mut held = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4096];
+            let len = stream.read(&mut buf).await.unwrap_or(0);
+            if buf[..len].starts_with(b"GET /v1/watch/") {
+                watches += 1;
+                if watches > 1 {
+                    held.push(stream);
+                }
+                continue;
+            }
+            let revision = 1 + watches;
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nx-revision: {revision}\r\ncontent-length: 1\r\n\
+                 connection: close\r\n\r\n{revision}"
+            );
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    addr
+}
+
+/// A service may drop its history while it cuts the watches, and let a watch from before wait for
+/// the next change: only reading the key shows what was missed.
+#[tokio::test]
+async fn loop_reads_the_key_after_a_watch_was_cut() {
+    let client = StoreClient::new(StoreSettings {
+        addr: forgetful_service().await,
+        ..StoreSettings::default()
+    });
+    let settings = WatchSettings {
+        wait: Duration::from_secs(30),
+        backoff: SETTINGS,
+    };
+    let mut watch = WatchLoop::new(client, key(), settings, 1);
+    assert_that!(value_of(watch.next().await).as_str(), eq("1"));
+    let next = tokio::time::timeout(Duration::from_secs(2), watch.next()).await;
+    assert_that!(next.map(value_of), ok(eq("2")));
+}
