Introduce a node to all nodes whose addresses it reads

Ruled out: store (nodes listed 12 at once), reports of targets (taken within 0.1 s). Change: addresses that are not known are sent an introduction at once; the list is read again every 10 s.

--- a/crates/rhubarblanding_membership/src/membership/exchange.rs
+++ b/crates/rhubarblanding_membership/src/membership/exchange.rs
@@ -11,8 +11,6 @@
 use crate::record::{Record, Verdict};
 
 impl Membership {
-    /// Seeds contacted at a time.
-    const JOIN_FANOUT: usize = 2;
     /// Time for which views may differ after a comparison found a difference.
     const SETTLING_AFTER_DIFFERENCE: Duration = Duration::from_secs(5);
     /// Peers that a node exchanges samples with as soon as it has joined.
@@ -24,10 +22,26 @@
     pub(super) fn join(&mut self, cx: &mut Cx<'_>) {
         let me = self.me.host();
         let others = self.seeds.iter().filter(|host| **host != me);
-        let chosen = others.copied().choose_multiple(cx.rng, Self::JOIN_FANOUT);
-        for seed in chosen {
+        let chosen = others
+            .copied()
+            .choose_multiple(cx.rng, self.settings.join_fanout);
+        self.introduce_to(cx, chosen);
+    }
+
+    /// Takes in addresses of peers and introduces this node to those that it does not know.
+    pub(super) fn on_seeds(&mut self, cx: &mut Cx<'_>, hosts: Vec<HostId>) {
+        let me = self.me.host();
+        let is_unknown = |host: &HostId| *host != me && self.record(*host).is_none();
+        let unknown = hosts.iter().copied().filter(is_unknown);
+        let chosen = unknown.choose_multiple(cx.rng, self.settings.join_fanout);
+        self.seeds.extend(hosts);
+        self.introduce_to(cx, chosen);
+    }
+
+    fn introduce_to(&self, cx: &mut Cx<'_>, hosts: Vec<HostId>) {
+        for host in hosts {
             let record = Box::new(self.me.clone());
-            self.send(cx, seed, Body::Join(record));
+            self.send(cx, host, Body::Join(record));
         }
     }
 
--- a/crates/rhubarblanding_membership/src/membership/mod.rs
+++ b/crates/rhubarblanding_membership/src/membership/mod.rs
@@ -171,7 +171,7 @@
             Input::Announce { state, slots } => self.on_announce(&mut cx, state, slots),
             Input::Interests(services) => self.on_interests(&mut cx, services),
             Input::Lookup(service) => self.on_lookup_input(&mut cx, service),
-            Input::Seeds(hosts) => self.seeds.extend(hosts),
+            Input::Seeds(hosts) => self.on_seeds(&mut cx, hosts),
             Input::Document(document) => self.on_document_read(&mut cx, document),
             Input::Tick => self.on_tick(&mut cx),
         }
--- a/crates/rhubarblanding_membership/src/settings.rs
+++ b/crates/rhubarblanding_membership/src/settings.rs
@@ -56,6 +56,8 @@
 pub struct MembershipSettings {
     /// Peer addresses to join through while the platform's service is unavailable.
     pub seeds: Vec<HostId>,
+    /// Peers that a node introduces itself to at a time, of those whose addresses it is told.
+    pub join_fanout: usize,
     /// Which targets are kept in detail.
     pub view: ViewMode,
     /// Time between two probes.
@@ -125,6 +127,7 @@
     fn default() -> Self {
         Self {
             seeds: Vec::new(),
+            join_fanout: 2,
             view: ViewMode::Partial,
             probe_interval: Duration::from_secs(1),
             probe_timeout: Duration::from_millis(500),
--- a/crates/rhubarblanding_mesh/src/process/registration.rs
+++ b/crates/rhubarblanding_mesh/src/process/registration.rs
@@ -21,6 +21,11 @@
 const NODE_TTL: Duration = Duration::from_secs(10);
 /// Time between two renewals: three of them may be lost.
 const RENEW_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Time between two readings of the addresses of all nodes, which bring together what a cut has
+/// set apart.
+const LIST_INTERVAL: Duration = Duration::from_secs(10);
+/// Time in which the nodes that were read answer an introduction.
+const INTRODUCTION_TIME: Duration = Duration::from_millis(250);
 /// Pause after a failed call. Entries that lapsed while the service was away are to be back
 /// within two seconds.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
@@ -32,6 +37,7 @@
 /// `listed` is set once the addresses of the other nodes were read.
 pub async fn keep(node: Arc<Shared>, listed: watch::Sender<bool>) {
     let mut lease = None;
+    let mut listed_at = None;
     loop {
         let result = match lease {
             Some(held) => node.store.renew_lease(held, NODE_TTL).await.map(|_| held),
@@ -40,8 +46,11 @@
         let pause = match result {
             Ok(held) => {
                 lease = Some(held);
-                if !*listed.borrow() {
-                    list_nodes(&node, &listed).await;
+                let is_due = listed_at.is_none_or(|at: MonoTime| {
+                    node.clock.now().since(at) >= LIST_INTERVAL
+                });
+                if is_due && list_nodes(&node, &listed).await {
+                    listed_at = Some(node.clock.now());
                 }
                 RENEW_INTERVAL
             }
@@ -74,7 +83,8 @@
     }
 }
 
-async fn list_nodes(node: &Shared, listed: &watch::Sender<bool>) {
+/// Introduces this node to those whose addresses it did not know; returns whether they were read.
+async fn list_nodes(node: &Shared, listed: &watch::Sender<bool>) -> bool {
     match node.store.list(&Key::from_static(NODES)).await {
         Ok(entries) => {
             let hosts = entries.iter().filter_map(|entry| {
@@ -84,10 +94,15 @@
             let hosts: Vec<HostId> = hosts.collect();
             log::info!(nodes = hosts.len(); "nodes_listed");
             node.member_input(Input::Seeds(hosts));
-            listed.send_replace(true);
+            if !*listed.borrow() {
+                tokio::time::sleep(INTRODUCTION_TIME).await;
+                listed.send_replace(true);
+            }
+            true
         }
         Err(report) => {
             log::info!(reason:% = report.current_context(); "nodes_not_listed");
+            false
         }
     }
 }
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -32,6 +32,15 @@
 /// Time whose first attempts may be sent again at once.
 const RETRY_BURST_TIME: Duration = Duration::from_millis(100);
 
+/// Nodes that a node introduces itself to when it is told their addresses: all, in fleets of a
+/// few hundred hosts, so that a fleet that starts at once is whole within one exchange.
+const JOIN_FANOUT: usize = 256;
+/// Changes a second that a node passes on: releases and outages of a small fleet change many
+/// targets at once.
+const SPREAD_RATE: f64 = 50.0;
+/// Changes that a node passes on at once.
+const SPREAD_BURST: f64 = 400.0;
+
 struct Member {
     membership: Membership,
     rng: SmallRng,
@@ -272,6 +281,9 @@
     MembershipSettings {
         seeds: settings.seeds.clone(),
         view: ViewMode::Full,
+        join_fanout: JOIN_FANOUT,
+        spread_rate: SPREAD_RATE,
+        spread_burst: SPREAD_BURST,
         probe_interval: Duration::from_millis(500),
         probe_timeout: Duration::from_millis(300),
         suspicion_timeout: Duration::from_secs(2),
