Let calls inherit rank and objective, and let new work in at the pace of completions

Change: a call of a request that runs at the local target inherits its rank and objective, so the queue serves whole chains and the most urgent first; new work of a kind is refused at the target's node while more of it is open than is completed within 0.7 of its objective; 6 % of the slots are left free, as targets slow down when nearly full.

--- a/crates/rhubarblanding_admission/src/slots/gate.rs
+++ b/crates/rhubarblanding_admission/src/slots/gate.rs
@@ -6,8 +6,12 @@
 
 use super::KindKey;
 use super::estimate::HoldTimes;
+use super::pace::Pace;
 use super::queue::{Queue, Waiting};
 
+/// Requests that each kind may have open whatever its pace, on a target of few slots.
+const PACE_FREE_MIN: u32 = 3;
+
 /// Settings of a [`SlotGate`].
 #[derive(Clone, Debug)]
 pub struct SlotSettings {
@@ -19,6 +23,11 @@
     pub patience: f64,
     /// Greatest number of waiting requests for each slot.
     pub queue_per_slot: f64,
+    /// Share of a request's time to its objective within which the open requests of its kind are
+    /// to be completed. New work beyond that is refused; calls of running work are not.
+    pub pace: f64,
+    /// Share of the slots that each kind may have open whatever its pace.
+    pub pace_free_share: f64,
     /// Bounds of the time after which a refused request is told to come back.
     pub retry_after_min: Duration,
     /// See [`retry_after_min`](Self::retry_after_min).
@@ -28,9 +37,11 @@
 impl Default for SlotSettings {
     fn default() -> Self {
         Self {
-            usable_share: 1.0,
+            usable_share: 0.94,
             patience: 0.9,
-            queue_per_slot: 2.0,
+            queue_per_slot: 16.0,
+            pace: 0.7,
+            pace_free_share: 0.1,
             retry_after_min: Duration::from_millis(50),
             retry_after_max: Duration::from_secs(2),
         }
@@ -46,6 +57,8 @@
     pub rank: u8,
     /// Kind of the request.
     pub kind: KindKey,
+    /// Whether it is a call of a request that runs elsewhere: refusing it wastes that work.
+    pub is_call: bool,
     /// Time until which the answer is worth most.
     pub objective: MonoTime,
     /// Time after which the answer is of no use.
@@ -97,6 +110,7 @@
     running: HashMap<u64, Running>,
     queue: Queue,
     hold_times: HoldTimes,
+    pace: Pace,
     timers: TimerService<u64>,
     verdicts: Vec<SlotVerdict>,
 }
@@ -110,6 +124,7 @@
             running: HashMap::default(),
             queue: Queue::default(),
             hold_times: HoldTimes::default(),
+            pace: Pace::default(),
             timers: TimerService::new(),
             verdicts: Vec::new(),
         }
@@ -118,7 +133,7 @@
     /// Takes over the number of slots that the backend server announced.
     pub fn set_slots(&mut self, now: MonoTime, announced: u32) {
         let usable = f64::from(announced) * self.settings.usable_share;
-        self.slots = (usable.round() as u32).max(u32::from(announced > 0));
+        self.slots = (usable.floor() as u32).max(u32::from(announced > 0));
         self.fill(now);
     }
 
@@ -133,33 +148,57 @@
         if !self.can_finish(now, &arrival) {
             return SlotDecision::Refused(Refusal::new(ErrorKind::QueueTimeout));
         }
+        if !arrival.is_call && !self.keeps_pace(now, &arrival) {
+            let wait = self.pace.interval(now, arrival.kind);
+            return SlotDecision::Refused(self.refusal(wait));
+        }
         if self.queue.len() == 0 && self.has_free_slot() {
+            self.pace.opened(arrival.kind);
             self.start(now, arrival);
             return SlotDecision::Admitted;
         }
-        let ahead = self.queue.ahead_of(arrival.rank, arrival.objective);
+        let is_late = now >= self.latest_start(arrival.objective, arrival.kind);
+        let (ahead, end) = match is_late {
+            false => (
+                self.queue.ahead_of(arrival.rank, arrival.objective),
+                arrival.objective,
+            ),
+            true => (self.queue.len(), arrival.deadline),
+        };
         let wait = self.expected_wait(ahead);
-        let room = now
-            .until(arrival.objective)
-            .saturating_sub(self.hold_times.of(arrival.kind));
+        let room = now.until(self.latest_start(end, arrival.kind));
         if wait > room.mul_f64(self.settings.patience) {
             return SlotDecision::Refused(self.refusal(wait));
         }
-        if self.queue.len() >= self.queue_max() && !self.make_room(arrival.rank) {
+        if self.queue.len() >= self.queue_max() && !self.make_room(now, arrival.rank) {
             return SlotDecision::Refused(self.refusal(wait));
         }
-        self.enqueue(now, arrival);
+        self.enqueue(now, arrival, is_late);
         SlotDecision::Queued
     }
 
+    /// Whether the requests of the kind that are open can be completed within their time, one more
+    /// included.
+    fn keeps_pace(&mut self, now: MonoTime, arrival: &SlotArrival) -> bool {
+        let left = match now.until(arrival.objective) {
+            Duration::ZERO => now.until(arrival.deadline),
+            left => left,
+        };
+        let time = left.mul_f64(self.settings.pace);
+        let least = (f64::from(self.slots) * self.settings.pace_free_share).ceil() as u32;
+        self.pace
+            .has_room(now, arrival.kind, time, least.max(PACE_FREE_MIN))
+    }
+
     /// Records that an admitted request ended. `answered` tells whether the backend server ran it
     /// to an answer, so that the time it took is of use.
     pub fn finished(&mut self, now: MonoTime, id: u64, answered: bool) {
-        if let Some(running) = self.running.remove(&id)
-            && answered
-        {
-            self.hold_times
-                .record(running.kind, now.since(running.since));
+        if let Some(running) = self.running.remove(&id) {
+            self.pace.closed(now, running.kind, answered);
+            if answered {
+                let held = now.since(running.since);
+                self.hold_times.record(running.kind, held);
+            }
         }
         self.advance(now);
     }
@@ -168,6 +207,7 @@
     pub fn cancelled(&mut self, now: MonoTime, id: u64) {
         if let Some(waiting) = self.queue.remove(id) {
             self.timers.cancel(waiting.timer);
+            self.pace.closed(now, waiting.arrival.kind, false);
         }
         self.finished(now, id, false);
     }
@@ -193,9 +233,10 @@
     }
 
     /// Refuses everything that waits; what runs is not touched.
-    pub fn refuse_waiting(&mut self, kind: ErrorKind) {
+    pub fn refuse_waiting(&mut self, now: MonoTime, kind: ErrorKind) {
         for waiting in self.queue.take_all() {
             self.timers.cancel(waiting.timer);
+            self.pace.closed(now, waiting.arrival.kind, false);
             let verdict = SlotVerdict::Refused(waiting.arrival.id, Refusal::new(kind));
             self.verdicts.push(verdict);
         }
@@ -222,14 +263,23 @@
             return;
         }
         self.queue.remove(id);
+        self.pace.closed(now, waiting.arrival.kind, false);
         let refusal = Refusal::new(ErrorKind::QueueTimeout);
         self.verdicts.push(SlotVerdict::Refused(id, refusal));
     }
 
-    fn enqueue(&mut self, now: MonoTime, arrival: SlotArrival) {
-        let due = self.latest_start(arrival.objective, arrival.kind);
+    fn enqueue(&mut self, now: MonoTime, arrival: SlotArrival, is_late: bool) {
+        self.pace.opened(arrival.kind);
+        let end = match is_late {
+            false => arrival.objective,
+            true => arrival.deadline,
+        };
+        let due = self.latest_start(end, arrival.kind);
         let timer = self.timers.subscribe(due, arrival.id);
         self.queue.push(arrival, now, timer);
+        if is_late {
+            self.queue.set_late(arrival.id, timer);
+        }
     }
 
     fn fill(&mut self, now: MonoTime) {
@@ -248,17 +298,19 @@
             self.start(now, waiting.arrival);
             self.verdicts.push(SlotVerdict::Admitted(id));
         } else {
+            self.pace.closed(now, waiting.arrival.kind, false);
             let refusal = self.refusal(now.since(waiting.since));
             self.verdicts.push(SlotVerdict::Refused(id, refusal));
         }
     }
 
-    fn make_room(&mut self, rank: u8) -> bool {
+    fn make_room(&mut self, now: MonoTime, rank: u8) -> bool {
         let Some(id) = self.queue.last_below(rank) else {
             return false;
         };
         if let Some(waiting) = self.queue.remove(id) {
             self.timers.cancel(waiting.timer);
+            self.pace.closed(now, waiting.arrival.kind, false);
             let wait = self.expected_wait(self.queue.len());
             let refusal = self.refusal(wait);
             self.verdicts.push(SlotVerdict::Refused(id, refusal));
--- a/crates/rhubarblanding_admission/src/slots/mod.rs
+++ b/crates/rhubarblanding_admission/src/slots/mod.rs
@@ -5,6 +5,7 @@
 
 mod estimate;
 mod gate;
+mod pace;
 mod queue;
 
 pub use estimate::KindKey;
--- a/crates/rhubarblanding_admission/tests/slots/main.rs
+++ b/crates/rhubarblanding_admission/tests/slots/main.rs
@@ -17,13 +17,18 @@
         id,
         rank,
         kind: KindKey(0),
+        is_call: true,
         objective: at(objective),
         deadline: at(deadline),
     }
 }
 
 fn gate(slots: u32) -> SlotGate {
-    let mut gate = SlotGate::new(SlotSettings::default());
+    let settings = SlotSettings {
+        usable_share: 1.0,
+        ..SlotSettings::default()
+    };
+    let mut gate = SlotGate::new(settings);
     gate.set_slots(at(0), slots);
     gate
 }
@@ -125,3 +130,72 @@
     gate.cancelled(at(12), 1);
     assert_that!(gate.poll(at(12)), eq(&vec![SlotVerdict::Admitted(3)]));
 }
+
+fn new_work(id: u64, now: u64) -> SlotArrival {
+    SlotArrival {
+        is_call: false,
+        ..arrival(id, 2, now + 1_000, now + 5_000)
+    }
+}
+
+/// Offers `per_second` requests a second that each hold a slot for `hold` milliseconds, and
+/// returns the greatest number open at a time and the number let in over the last second of five.
+fn offer(gate: &mut SlotGate, per_second: u64, hold: u64) -> (u32, usize) {
+    let mut ends = std::collections::VecDeque::new();
+    let mut most = 0;
+    let mut last_second = 0;
+    for n in 0..5 * per_second {
+        let now = n * 1_000 / per_second;
+        while ends.front().is_some_and(|(end, _)| *end <= now) {
+            if let Some((end, id)) = ends.pop_front() {
+                gate.finished(at(end), id, true);
+            }
+        }
+        if gate.arrive(at(now), new_work(n, now)) == SlotDecision::Admitted {
+            ends.push_back((now + hold, n));
+            last_second += usize::from(now >= 4_000);
+        }
+        most = most.max(gate.load().running);
+    }
+    (most, last_second)
+}
+
+/// In time, everything is let in.
+#[test]
+fn work_that_is_completed_in_time_is_let_in() {
+    let (most, served) = offer(&mut gate(200), 200, 300);
+    assert_that!(most, le(61));
+    assert_that!(served, eq(200));
+}
+
+/// Slots alone would let 1000 requests in, each of which the services further down make late.
+#[test]
+fn no_more_new_work_is_open_than_is_completed_in_time() {
+    let mut gate = gate(1_000);
+    let mut running = std::collections::VecDeque::new();
+    let mut completed_late = 0;
+    // Further down 100 requests are completed a second, in the order of their arrival.
+    for n in 0..2_000u64 {
+        let now = n * 5;
+        if gate.arrive(at(now), new_work(n, now)) == SlotDecision::Admitted {
+            running.push_back((n, now));
+        }
+        if n % 2 == 0
+            && let Some((id, since)) = running.pop_front()
+        {
+            completed_late += usize::from(now >= 5_000 && now - since > 1_000);
+            gate.finished(at(now), id, true);
+        }
+    }
+    assert_that!(gate.load().running, all![ge(50), le(100)]);
+    assert_that!(completed_late, eq(0));
+}
+
+/// Calls of running work are let in whatever the pace.
+#[test]
+fn calls_are_not_held_to_the_pace() {
+    let mut gate = gate(100);
+    let decisions = (0..100).map(|id| gate.arrive(at(0), arrival(id, 2, 1_000, 5_000)));
+    let admitted = decisions.filter(|d| *d == SlotDecision::Admitted).count();
+    assert_that!(admitted, eq(100));
+}
--- a/crates/rhubarblanding_mesh/src/dialect/mod.rs
+++ b/crates/rhubarblanding_mesh/src/dialect/mod.rs
@@ -125,6 +125,10 @@
     /// Headers of requests and answers.
     fn headers(&self) -> &HeaderNames;
 
+    /// Identifiers that the request which made a call may have, given the call's own, the likeliest
+    /// first. Empty if the platform's identifiers tell nothing of this.
+    fn possible_parents<'a>(&self, request_id: &'a [u8]) -> Vec<&'a [u8]>;
+
     /// Decodes a call of the local target.
     ///
     /// # Errors
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::instance::{InstanceTracker, LeaveVerdict, ReportVerdict};
+use super::lineage::{Lineage, Running};
 use super::shared::Shared;
 use crate::dialect::{InstanceId, InstanceLeave, InstanceLife, InstanceReport};
 use crate::request::HopHeader;
@@ -27,6 +28,7 @@
     waiting: HashMap<u64, oneshot::Sender<Verdict>>,
     next_id: u64,
     unreachable_until: MonoTime,
+    running: Running,
 }
 
 /// The local target.
@@ -75,6 +77,18 @@
     }
 }
 
+/// Keeps a request among those that run at the target.
+pub struct RunningGuard {
+    node: Arc<Shared>,
+    id: Box<[u8]>,
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        lock(&self.node.local.state).running.remove(&self.id);
+    }
+}
+
 /// Takes a waiting request out of the queue if its sender gives up.
 struct WaitGuard<'a> {
     node: &'a Arc<Shared>,
@@ -99,6 +113,7 @@
             waiting: HashMap::default(),
             next_id: 0,
             unreachable_until: MonoTime::ZERO,
+            running: Running::default(),
         };
         Self {
             state: Mutex::new(state),
@@ -128,6 +143,7 @@
                 id,
                 rank: header.rank,
                 kind: header.kind,
+                is_call: header.is_call,
                 objective,
                 deadline,
             };
@@ -213,7 +229,7 @@
                 state.gate.set_slots(now, report.slots);
             }
             ReportVerdict::Unchanged => state.gate.set_slots(now, report.slots),
-            ReportVerdict::BeganDraining => state.refuse_waiting(),
+            ReportVerdict::BeganDraining => state.refuse_waiting(now),
             ReportVerdict::Stale | ReportVerdict::Departed | ReportVerdict::OtherService => {}
         }
         state.dispatch(now);
@@ -226,7 +242,7 @@
         let mut state = lock(&self.state);
         let verdict = state.tracker.leave(leave);
         if state.tracker.serving().is_none() {
-            state.refuse_waiting();
+            state.refuse_waiting(now);
         }
         state.dispatch(now);
         verdict
@@ -244,13 +260,15 @@
 
     /// Notes that the target does not take connections.
     pub fn note_unreachable(&self, node: &Shared) {
+        let now = node.clock.now();
         let mut state = lock(&self.state);
-        state.unreachable_until = node.clock.now() + UNREACHABLE_HOLD;
-        state.refuse_waiting();
+        state.unreachable_until = now + UNREACHABLE_HOLD;
+        state.refuse_waiting(now);
     }
 
     /// Notes that another instance answers at the target's address.
     pub fn note_misdirected(&self, node: &Shared, instance: &InstanceId) {
+        let now = node.clock.now();
         let mut state = lock(&self.state);
         if state
             .tracker
@@ -259,9 +277,23 @@
         {
             log::warn!(instance:% = instance; "target_is_another_instance");
             state.tracker.forget();
-            state.refuse_waiting();
+            state.refuse_waiting(now);
+        }
+        state.dispatch(now);
+    }
+
+    /// Notes that a request runs at the target until the guard is dropped.
+    pub fn note_running(&self, node: &Arc<Shared>, id: &[u8], lineage: Lineage) -> RunningGuard {
+        lock(&self.state).running.insert(id, lineage);
+        RunningGuard {
+            node: Arc::clone(node),
+            id: id.into(),
         }
-        state.dispatch(node.clock.now());
+    }
+
+    /// What a request inherits if it is a call of one that runs at the target.
+    pub fn inherited(&self, parents: &[&[u8]]) -> Option<Lineage> {
+        lock(&self.state).running.inherited(parents)
     }
 
     /// Sleeps until a queued request has to be decided on; runs for as long as the process.
@@ -312,8 +344,8 @@
         Ok(())
     }
 
-    fn refuse_waiting(&mut self) {
-        self.gate.refuse_waiting(ErrorKind::TargetDraining);
+    fn refuse_waiting(&mut self, now: MonoTime) {
+        self.gate.refuse_waiting(now, ErrorKind::TargetDraining);
     }
 
     /// Hands decisions to the requests that wait for them.
--- a/crates/rhubarblanding_mesh/src/process/mod.rs
+++ b/crates/rhubarblanding_mesh/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod events;
 mod instance;
+mod lineage;
 mod local;
 mod member;
 mod mesh;
@@ -14,6 +15,7 @@
 
 pub use events::Ending;
 pub use instance::{InstanceTracker, LeaveVerdict, ReportVerdict};
+pub use lineage::{Lineage, Running};
 pub use local::{LocalTarget, SlotPermit};
 pub use mesh::{Mesh, StartError};
 pub use metrics::Metrics;
--- a/crates/rhubarblanding_mesh/src/process/registration.rs
+++ b/crates/rhubarblanding_mesh/src/process/registration.rs
@@ -46,9 +46,8 @@
         let pause = match result {
             Ok(held) => {
                 lease = Some(held);
-                let is_due = listed_at.is_none_or(|at: MonoTime| {
-                    node.clock.now().since(at) >= LIST_INTERVAL
-                });
+                let is_due = listed_at
+                    .is_none_or(|at: MonoTime| node.clock.now().since(at) >= LIST_INTERVAL);
                 if is_due && list_nodes(&node, &listed).await {
                     listed_at = Some(node.clock.now());
                 }
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -235,6 +235,11 @@
         self.with_budget(service, |budget, now| budget.first_attempt(now));
     }
 
+    /// Charges a request to `service` that repeats another to its retries.
+    pub fn charge_repeat(&self, service: &ServiceName) {
+        self.with_budget(service, |budget, now| budget.take(now));
+    }
+
     /// Whether a request to `service` may be sent to a second target.
     pub fn take_retry(&self, service: &ServiceName) -> bool {
         let taken = self.with_budget(service, |budget, now| budget.take(now));
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -44,6 +44,9 @@
     /// Time after which the client or the operators want no answer.
     deadline: MonoTime,
     objective: MonoTime,
+    rank: u8,
+    is_call: bool,
+    repeated: bool,
 }
 
 /// Answers a request of a client or of the local target.
@@ -109,7 +112,11 @@
         .map(Duration::from_millis);
     let timeout = route.route().timeout;
     let deadline = began + told.map_or(timeout, |told| told.min(timeout));
-    let objective = (began + route.route().objective).min(deadline);
+    let parents = node.dialect.possible_parents(request_id.as_bytes());
+    let lineage = node.local.inherited(&parents);
+    let own_end = began + route.route().objective;
+    let objective = lineage.map_or(own_end, |l| l.objective).min(deadline);
+    let rank = lineage.map_or(route.route().rank, |l| l.rank);
     strip_connection(&mut parts.headers);
     for name in [header::HOST, header::CONTENT_LENGTH, header::EXPECT] {
         parts.headers.remove(name);
@@ -139,6 +146,9 @@
         began,
         deadline,
         objective,
+        rank,
+        is_call: lineage.is_some(),
+        repeated: lineage.is_some_and(|l| l.repeated),
     })
 }
 
@@ -162,10 +172,17 @@
     tried: Vec<HostId>,
     /// Targets that the request was sent to.
     reached: u32,
+    /// Refusal of the target asked last.
+    refusal: Option<Refusal>,
 }
 
 async fn serve(node: &Arc<Shared>, exchange: Exchange) -> Response<Payload> {
-    node.count_first_attempt(&exchange.service);
+    if exchange.repeated {
+        // The calls of a repeated request are repeats at the services that they go to.
+        node.charge_repeat(&exchange.service);
+    } else {
+        node.count_first_attempt(&exchange.service);
+    }
     let mut attempts = Attempts::default();
     loop {
         let now = node.clock.now();
@@ -177,7 +194,8 @@
             return refuse(node, &exchange, Refusal::new(kind), &attempts);
         }
         let Some(target) = node.targets.pick(now, &exchange.service, &attempts.tried) else {
-            let refusal = Refusal::with_retry_after(ErrorKind::NoTarget, NOT_READY_RETRY);
+            let unknown = Refusal::with_retry_after(ErrorKind::NoTarget, NOT_READY_RETRY);
+            let refusal = attempts.refusal.unwrap_or(unknown);
             return refuse(node, &exchange, refusal, &attempts);
         };
         attempts.tried.push(target.host);
@@ -221,7 +239,7 @@
     attempts: &mut Attempts,
 ) -> Next {
     let limit = node.clock.instant(exchange.deadline + ANSWER_GRACE);
-    let hop = hop_request(node, exchange);
+    let hop = hop_request(node, exchange, attempts.reached);
     let sent = node.targets.started(&exchange.service, target);
     let reply = tokio::time::timeout_at(limit, forward(node, target.host, hop)).await;
     let Ok(HopReply { outcome, load }) = reply else {
@@ -244,11 +262,13 @@
                 | ErrorKind::UnknownService => TargetOutcome::ConnectFailed,
                 _ => TargetOutcome::Refused,
             });
+            attempts.refusal = Some(refusal);
             on_refused(refusal, attempts)
         }
         HopOutcome::Shed(refusal) => {
             sent.finish(TargetOutcome::Refused);
             attempts.reached += 1;
+            attempts.refusal = Some(refusal);
             if may_send_again(node, exchange, attempts) {
                 return Next::Again;
             }
@@ -310,7 +330,7 @@
         && node.take_retry(&exchange.service)
 }
 
-fn hop_request(node: &Shared, exchange: &Exchange) -> HopRequest {
+fn hop_request(node: &Shared, exchange: &Exchange, reached: u32) -> HopRequest {
     let now = node.clock.now();
     let route = exchange.route.route();
     HopRequest {
@@ -318,7 +338,9 @@
             service: exchange.service.clone(),
             deadline: now.until(exchange.deadline),
             objective: now.until(exchange.objective),
-            rank: route.rank,
+            rank: exchange.rank,
+            is_call: exchange.is_call,
+            repeated: exchange.repeated || reached > 0,
             kind: KindKey(stable_hash(0, route.name.as_bytes())),
             host: exchange.host.clone(),
         },
--- a/crates/rhubarblanding_mesh/src/request/hop.rs
+++ b/crates/rhubarblanding_mesh/src/request/hop.rs
@@ -32,6 +32,10 @@
     pub rank: u8,
     /// Kind of the request.
     pub kind: KindKey,
+    /// Whether it is a call of a request that runs elsewhere.
+    pub is_call: bool,
+    /// Whether it, or a request of its chain, is sent a second time.
+    pub repeated: bool,
     /// Host that the client asked for.
     pub host: String,
 }
@@ -40,12 +44,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{};{};{};{};{:x};{}",
+            "{};{};{};{};{:x};{}{};{}",
             self.service,
             self.deadline.as_millis(),
             self.objective.as_millis(),
             self.rank,
             self.kind.0,
+            u8::from(self.is_call),
+            u8::from(self.repeated),
             self.host
         )
     }
@@ -59,24 +65,36 @@
     type Error = InvalidHop;
 
     fn try_from(raw: &str) -> Result<Self, InvalidHop> {
-        let mut fields = raw.splitn(6, ';');
+        let mut fields = raw.splitn(7, ';');
         let mut next = || fields.next().ok_or(InvalidHop);
         let service = ServiceName::try_from(next()?).map_err(|_| InvalidHop)?;
         let deadline = millis(next()?)?;
         let objective = millis(next()?)?;
         let rank = next()?.parse().map_err(|_| InvalidHop)?;
         let kind = u64::from_str_radix(next()?, 16).map_err(|_| InvalidHop)?;
+        let (is_call, repeated) = flags(next()?)?;
         Ok(Self {
             service,
             deadline,
             objective,
             rank,
             kind: KindKey(kind),
+            is_call,
+            repeated,
             host: next()?.to_owned(),
         })
     }
 }
 
+fn flags(raw: &str) -> Result<(bool, bool), InvalidHop> {
+    match raw.as_bytes() {
+        [is_call @ (b'0' | b'1'), repeated @ (b'0' | b'1')] => {
+            Ok((*is_call == b'1', *repeated == b'1'))
+        }
+        _ => Err(InvalidHop),
+    }
+}
+
 fn millis(raw: &str) -> Result<Duration, InvalidHop> {
     raw.parse()
         .map(Duration::from_millis)
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -19,7 +19,7 @@
     REQUEST_HEADER,
 };
 use crate::connection::{BackendConn, ExchangeError, Payload, TailGuard};
-use crate::process::{Shared, SlotPermit};
+use crate::process::{Lineage, Shared, SlotPermit};
 
 /// Size up to which an answer is held until it is complete, in bytes. A broken one then becomes a
 /// clean failure instead of a cut answer.
@@ -173,6 +173,13 @@
     deadline: MonoTime,
 ) -> HopOutcome {
     let id = hop.headers.get(&node.dialect.headers().request_id).cloned();
+    let lineage = Lineage {
+        rank: hop.header.rank,
+        objective: node.clock.now() + hop.header.objective,
+        repeated: hop.header.repeated,
+    };
+    let id_bytes = id.as_ref().map_or(&[][..], HeaderValue::as_bytes);
+    let _running = node.local.note_running(node, id_bytes, lineage);
     let req = prepare(node, hop, &permit, deadline);
     let addr = node.settings().target_addr;
     for _ in 0..CONNECT_ATTEMPTS {
--- a/crates/rhubarblanding_mesh/tests/hop.rs
+++ b/crates/rhubarblanding_mesh/tests/hop.rs
@@ -17,6 +17,8 @@
         objective: Duration::from_millis(1_200),
         rank: 2,
         kind: KindKey(0xfeed),
+        is_call: true,
+        repeated: false,
         host: "a;b.example:80".to_owned(),
     };
     assert_that!(HopHeader::try_from(&*header.to_string()), ok(eq(&header)));
