Use three quarters of the retry bound, and do not blame a target for its calls

The budget of 4 % left most of the allowed retries unused where targets lost or shed requests themselves. Change: the node beside a target tells whether a call of the run failed; such a failure is neither repeated nor held against the target. The budget of a node follows the settings (ratio, slack). Calls of repeated requests are charged. Lines for retries and cancelled requests.

--- a/crates/rhubarblanding_mesh/src/process/events.rs
+++ b/crates/rhubarblanding_mesh/src/process/events.rs
@@ -26,6 +26,18 @@
     },
 }
 
+/// Why a request is sent to a second target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum RetryReason {
+    /// The target refused it without running it.
+    Shed,
+    /// No usable answer came.
+    Lost,
+    /// The target answered with a failure.
+    Failed,
+}
+
 fn text(id: Option<&HeaderValue>) -> &str {
     id.and_then(|id| id.to_str().ok()).unwrap_or("-")
 }
@@ -58,6 +70,30 @@
         }
     }
 
+    /// Logs a request that is sent to another target than those of `tried`.
+    pub fn log_retry(
+        &self,
+        id: &HeaderValue,
+        service: &ServiceName,
+        reason: RetryReason,
+        tried: &[HostId],
+    ) {
+        let host = tried.last().map(HostId::to_string).unwrap_or_default();
+        log::info!(
+            id = text(Some(id)), service:% = service, host = host, reason:% = reason;
+            "sent_again"
+        );
+    }
+
+    /// Logs and counts a request whose sender left before the answer.
+    pub fn log_cancelled(&self, id: &HeaderValue, service: &ServiceName, waited: Duration) {
+        self.metrics.cancelled();
+        log::info!(
+            id = text(Some(id)), service:% = service, waited_us = waited.as_micros() as u64;
+            "cancelled"
+        );
+    }
+
     /// Logs and counts an answer of a target.
     pub fn log_answer(
         &self,
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -296,6 +296,16 @@
         lock(&self.state).running.inherited(parents)
     }
 
+    /// Notes that a call of one of `parents` brought no success.
+    pub fn note_call_failed(&self, parents: &[&[u8]]) {
+        lock(&self.state).running.note_call_failed(parents);
+    }
+
+    /// Whether a call of a running request brought no success.
+    pub fn has_failed_call(&self, id: &[u8]) -> bool {
+        lock(&self.state).running.has_failed_call(id)
+    }
+
     /// Sleeps until a queued request has to be decided on; runs for as long as the process.
     pub async fn run_timers(&self, node: &Shared) {
         loop {
--- a/crates/rhubarblanding_mesh/src/process/metrics.rs
+++ b/crates/rhubarblanding_mesh/src/process/metrics.rs
@@ -35,6 +35,7 @@
     latency: Histogram,
     target_failures: Counter,
     retries: Counter,
+    cancelled: Counter,
 }
 
 impl Default for Metrics {
@@ -51,6 +52,7 @@
         let latency = Histogram::new(LATENCY_BOUNDS);
         let target_failures = Counter::default();
         let retries = Counter::default();
+        let cancelled = Counter::default();
         registry.register(
             "refusals",
             "Requests that the system itself answered",
@@ -69,6 +71,8 @@
             "Requests sent to a second target",
             retries.clone(),
         );
+        let help = "Requests whose sender left before the answer";
+        registry.register("cancelled", help, cancelled.clone());
         Self {
             registry,
             refusals,
@@ -76,6 +80,7 @@
             latency,
             target_failures,
             retries,
+            cancelled,
         }
     }
 }
@@ -105,6 +110,11 @@
         self.retries.inc();
     }
 
+    /// Counts a request whose sender left.
+    pub fn cancelled(&self) {
+        self.cancelled.inc();
+    }
+
     /// All values in the OpenMetrics text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/rhubarblanding_mesh/src/process/mod.rs
+++ b/crates/rhubarblanding_mesh/src/process/mod.rs
@@ -13,7 +13,7 @@
 mod shared;
 mod targets;
 
-pub use events::Ending;
+pub use events::{Ending, RetryReason};
 pub use instance::{InstanceTracker, LeaveVerdict, ReportVerdict};
 pub use lineage::{Lineage, Running};
 pub use local::{LocalTarget, SlotPermit};
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -24,11 +24,13 @@
 use crate::settings::MeshSettings;
 use crate::version::Version;
 
-/// Retries for a hundred first attempts of one node. A request may pass four services, and a
-/// retry at each of them counts at the last: all of them together stay below a ratio of 0.2.
-const RETRIES_PER_HUNDRED: u32 = 4;
-/// Retries that may follow each other at once. With many nodes each has one at a time.
-const RETRY_BURST: u32 = 2;
+/// Share of the bound of retries in proportion to requests that a node uses. The rest covers
+/// requests that were counted and did not arrive, and debts that the budget does not hold.
+const RETRY_RATIO_SHARE: f64 = 0.75;
+/// Share of the retries allowed besides that the nodes use together.
+const RETRY_SLACK_SHARE: f64 = 0.5;
+/// Nodes that are taken to share the bound while fewer are known.
+const RETRY_NODES_MIN: usize = 8;
 /// Time whose first attempts may be sent again at once.
 const RETRY_BURST_TIME: Duration = Duration::from_millis(100);
 
@@ -237,7 +239,7 @@
 
     /// Charges a request to `service` that repeats another to its retries.
     pub fn charge_repeat(&self, service: &ServiceName) {
-        self.with_budget(service, |budget, now| budget.take(now));
+        self.with_budget(service, |budget, now| budget.charge(now));
     }
 
     /// Whether a request to `service` may be sent to a second target.
@@ -259,10 +261,13 @@
         if let Some(budget) = budgets.get_mut(service) {
             return act(budget, now);
         }
+        let bound = self.settings().retry_bound;
+        let nodes = self.with_member(Membership::view_len).max(RETRY_NODES_MIN);
+        let burst = bound.slack * RETRY_SLACK_SHARE / nodes as f64;
         let settings = BudgetSettings {
-            retries_per_hundred: RETRIES_PER_HUNDRED,
+            retries_per_hundred: (bound.ratio * RETRY_RATIO_SHARE * 100.0) as u32,
             floor_per_second: 0,
-            burst: RETRY_BURST,
+            burst: (burst as u32).max(1),
             burst_time: RETRY_BURST_TIME,
             overload_hold: Duration::ZERO,
         };
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -19,7 +19,7 @@
 use super::headers::strip_connection;
 use super::hop::{ANSWER_HEADER, HopHeader, HopOutcome, HopReply, HopRequest, REQUEST_HEADER};
 use crate::connection::Payload;
-use crate::process::{Ending, Shared};
+use crate::process::{Ending, RetryReason, Shared};
 use crate::version::ChosenRoute;
 
 /// Time beyond the deadline in which the answer of the node beside the target may still come.
@@ -58,7 +58,16 @@
     let began = node.clock.now();
     let _open = node.open_request();
     let mut resp = match admit(&node, req, began).await {
-        Ok(exchange) => serve(&node, exchange).await,
+        Ok(exchange) => {
+            let cancelled = CancelNote::new(&node, &exchange);
+            let resp = serve(&node, &exchange).await;
+            cancelled.disarm();
+            if exchange.is_call && !resp.status().is_success() {
+                let parents = node.dialect.possible_parents(exchange.id.as_bytes());
+                node.local.note_call_failed(&parents);
+            }
+            resp
+        }
         Err(resp) => resp,
     };
     if node.is_stopping() {
@@ -158,6 +167,37 @@
         .or_else(|| headers.get(header::HOST)?.to_str().ok())
 }
 
+/// Logs a request whose sender leaves before the answer.
+struct CancelNote<'a> {
+    node: &'a Shared,
+    exchange: &'a Exchange,
+    armed: bool,
+}
+
+impl<'a> CancelNote<'a> {
+    fn new(node: &'a Shared, exchange: &'a Exchange) -> Self {
+        Self {
+            node,
+            exchange,
+            armed: true,
+        }
+    }
+
+    fn disarm(mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for CancelNote<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            let waited = self.node.clock.now().since(self.exchange.began);
+            self.node
+                .log_cancelled(&self.exchange.id, &self.exchange.service, waited);
+        }
+    }
+}
+
 /// What comes after an attempt.
 enum Next {
     Deliver(Response<Payload>),
@@ -176,7 +216,7 @@
     refusal: Option<Refusal>,
 }
 
-async fn serve(node: &Arc<Shared>, exchange: Exchange) -> Response<Payload> {
+async fn serve(node: &Arc<Shared>, exchange: &Exchange) -> Response<Payload> {
     if exchange.repeated {
         // The calls of a repeated request are repeats at the services that they go to.
         node.charge_repeat(&exchange.service);
@@ -191,15 +231,15 @@
                 0 => ErrorKind::QueueTimeout,
                 _ => ErrorKind::DeadlineExceeded,
             };
-            return refuse(node, &exchange, Refusal::new(kind), &attempts);
+            return refuse(node, exchange, Refusal::new(kind), &attempts);
         }
         let Some(target) = node.targets.pick(now, &exchange.service, &attempts.tried) else {
             let unknown = Refusal::with_retry_after(ErrorKind::NoTarget, NOT_READY_RETRY);
             let refusal = attempts.refusal.unwrap_or(unknown);
-            return refuse(node, &exchange, refusal, &attempts);
+            return refuse(node, exchange, refusal, &attempts);
         };
         attempts.tried.push(target.host);
-        match attempt(node, &exchange, target, &mut attempts).await {
+        match attempt(node, exchange, target, &mut attempts).await {
             Next::Deliver(resp) => {
                 node.log_answer(
                     &exchange.id,
@@ -210,7 +250,7 @@
                 );
                 return resp;
             }
-            Next::Refuse(refusal) => return refuse(node, &exchange, refusal, &attempts),
+            Next::Refuse(refusal) => return refuse(node, exchange, refusal, &attempts),
             Next::Again => {}
         }
     }
@@ -242,7 +282,12 @@
     let hop = hop_request(node, exchange, attempts.reached);
     let sent = node.targets.started(&exchange.service, target);
     let reply = tokio::time::timeout_at(limit, forward(node, target.host, hop)).await;
-    let Ok(HopReply { outcome, load }) = reply else {
+    let Ok(HopReply {
+        outcome,
+        call_failed,
+        load,
+    }) = reply
+    else {
         sent.finish(TargetOutcome::Silent);
         return Next::Refuse(Refusal::new(ErrorKind::DeadlineExceeded));
     };
@@ -251,8 +296,15 @@
     }
     match outcome {
         HopOutcome::Answered(resp) => {
-            sent.finish(target_outcome(&resp));
+            sent.finish(match resp.status().is_server_error() && !call_failed {
+                true => TargetOutcome::Failed,
+                false => TargetOutcome::Answered,
+            });
             attempts.reached += 1;
+            if call_failed {
+                // The service that failed is further down; another run would fail there too.
+                return Next::Deliver(resp);
+            }
             on_answer(node, exchange, resp, attempts)
         }
         HopOutcome::Refused(refusal) => {
@@ -269,7 +321,7 @@
             sent.finish(TargetOutcome::Refused);
             attempts.reached += 1;
             attempts.refusal = Some(refusal);
-            if may_send_again(node, exchange, attempts) {
+            if may_send_again(node, exchange, attempts, RetryReason::Shed) {
                 return Next::Again;
             }
             Next::Refuse(refusal)
@@ -280,7 +332,7 @@
             let is_repeatable = exchange.route.route().idempotency == Idempotency::Idempotent;
             if is_repeatable
                 && kind != ErrorKind::DeadlineExceeded
-                && may_send_again(node, exchange, attempts)
+                && may_send_again(node, exchange, attempts, RetryReason::Lost)
             {
                 return Next::Again;
             }
@@ -289,14 +341,6 @@
     }
 }
 
-fn target_outcome(resp: &Response<Payload>) -> TargetOutcome {
-    if resp.status().is_server_error() {
-        TargetOutcome::Failed
-    } else {
-        TargetOutcome::Answered
-    }
-}
-
 /// A failure of the target may be mended by another target, if the request may run twice.
 fn on_answer(
     node: &Shared,
@@ -306,7 +350,8 @@
 ) -> Next {
     let is_failure = resp.status().is_server_error() && resp.status().as_u16() != 504;
     let is_repeatable = exchange.route.route().idempotency == Idempotency::Idempotent;
-    if is_failure && is_repeatable && may_send_again(node, exchange, attempts) {
+    if is_failure && is_repeatable && may_send_again(node, exchange, attempts, RetryReason::Failed)
+    {
         return Next::Again;
     }
     Next::Deliver(resp)
@@ -324,10 +369,19 @@
     Next::Again
 }
 
-fn may_send_again(node: &Shared, exchange: &Exchange, attempts: &Attempts) -> bool {
-    attempts.reached < exchange.route.route().max_attempts
+fn may_send_again(
+    node: &Shared,
+    exchange: &Exchange,
+    attempts: &Attempts,
+    reason: RetryReason,
+) -> bool {
+    let is_allowed = attempts.reached < exchange.route.route().max_attempts
         && attempts.tried.len() < PLACEMENTS_MAX
-        && node.take_retry(&exchange.service)
+        && node.take_retry(&exchange.service);
+    if is_allowed {
+        node.log_retry(&exchange.id, &exchange.service, reason, &attempts.tried);
+    }
+    is_allowed
 }
 
 fn hop_request(node: &Shared, exchange: &Exchange, reached: u32) -> HopRequest {
--- a/crates/rhubarblanding_mesh/src/request/forward.rs
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -36,6 +36,7 @@
 fn reply(outcome: HopOutcome) -> HopReply {
     HopReply {
         outcome,
+        call_failed: false,
         load: None,
     }
 }
@@ -72,6 +73,7 @@
     };
     HopReply {
         outcome,
+        call_failed: status.call_failed,
         load: Some(status.load),
     }
 }
--- a/crates/rhubarblanding_mesh/src/request/hop.rs
+++ b/crates/rhubarblanding_mesh/src/request/hop.rs
@@ -137,6 +137,8 @@
     pub result: HopResult,
     /// Reason, unless the target answered.
     pub refusal: Refusal,
+    /// Whether a failure of the target followed from that of a call that it made.
+    pub call_failed: bool,
     /// Load of the target.
     pub load: LoadReport,
 }
@@ -150,13 +152,14 @@
         let load = &self.load;
         write!(
             f,
-            "{};{};{retry_ms};{};{};{};{}",
+            "{};{};{retry_ms};{};{};{};{};{}",
             self.result,
             self.refusal.kind,
             load.in_flight,
             load.queued,
             load.limit,
-            u8::from(load.draining)
+            u8::from(load.draining),
+            u8::from(self.call_failed)
         )
     }
 }
@@ -171,19 +174,21 @@
         let kind = next()?.parse().map_err(|_| InvalidHop)?;
         let retry_after = millis(next()?)?;
         let mut number = || next()?.parse::<u32>().map_err(|_| InvalidHop);
+        let load = LoadReport {
+            in_flight: number()?,
+            queued: number()?,
+            limit: number()?,
+            draining: number()? != 0,
+            ..LoadReport::default()
+        };
         Ok(Self {
             result,
             refusal: Refusal {
                 kind,
                 retry_after: (!retry_after.is_zero()).then_some(retry_after),
             },
-            load: LoadReport {
-                in_flight: number()?,
-                queued: number()?,
-                limit: number()?,
-                draining: number()? != 0,
-                ..LoadReport::default()
-            },
+            call_failed: number()? != 0,
+            load,
         })
     }
 }
@@ -204,6 +209,8 @@
 pub struct HopReply {
     /// How the request ended.
     pub outcome: HopOutcome,
+    /// Whether a failure of the target followed from that of a call that it made.
+    pub call_failed: bool,
     /// Load of the target.
     pub load: Option<LoadReport>,
 }
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -48,6 +48,7 @@
         let refusal = Refusal::new(ErrorKind::NodeDraining);
         return encode(HopReply {
             outcome: HopOutcome::Refused(refusal),
+            call_failed: false,
             load: None,
         });
     }
@@ -117,6 +118,7 @@
     let status = HopStatus {
         result,
         refusal,
+        call_failed: reply.call_failed,
         load: reply.load.unwrap_or_default(),
     };
     if let Ok(value) = HeaderValue::try_from(status.to_string()) {
@@ -134,16 +136,18 @@
     let now = node.clock.now();
     let deadline = now + hop.header.deadline;
     let objective = now + hop.header.objective;
+    let mut call_failed = false;
     let outcome = match node
         .local
         .acquire(&node, &hop.header, objective, deadline)
         .await
     {
-        Ok(permit) => run(&node, hop, permit, deadline).await,
+        Ok(permit) => run(&node, hop, permit, deadline, &mut call_failed).await,
         Err(refusal) => HopOutcome::Refused(refusal),
     };
     HopReply {
         outcome,
+        call_failed,
         load: Some(node.local.load()),
     }
 }
@@ -154,10 +158,11 @@
     hop: HopRequest,
     permit: SlotPermit,
     deadline: MonoTime,
+    call_failed: &mut bool,
 ) -> HopOutcome {
     let limit = node.clock.instant(deadline + DEADLINE_GRACE);
     let id = hop.headers.get(&node.dialect.headers().request_id).cloned();
-    match tokio::time::timeout_at(limit, attempt(node, hop, permit, deadline)).await {
+    match tokio::time::timeout_at(limit, attempt(node, hop, permit, deadline, call_failed)).await {
         Ok(outcome) => outcome,
         Err(_) => {
             node.log_target_failure(id.as_ref(), "deadline");
@@ -171,6 +176,7 @@
     hop: HopRequest,
     mut permit: SlotPermit,
     deadline: MonoTime,
+    call_failed: &mut bool,
 ) -> HopOutcome {
     let id = hop.headers.get(&node.dialect.headers().request_id).cloned();
     let lineage = Lineage {
@@ -192,7 +198,10 @@
             }
         };
         match conn.exchange(req.clone()).await {
-            Ok(resp) => return receive(node, conn, resp, &mut permit, id.as_ref()).await,
+            Ok(resp) => {
+                *call_failed = node.local.has_failed_call(id_bytes);
+                return receive(node, conn, resp, &mut permit, id.as_ref()).await;
+            }
             Err(ExchangeError::NotSent) => {}
             Err(e) => {
                 if e == ExchangeError::Garbled {
--- a/crates/rhubarblanding_mesh/tests/hop.rs
+++ b/crates/rhubarblanding_mesh/tests/hop.rs
@@ -29,6 +29,7 @@
     let status = HopStatus {
         result: HopResult::Refused,
         refusal: Refusal::with_retry_after(ErrorKind::Overloaded, Duration::from_millis(70)),
+        call_failed: true,
         load: LoadReport {
             in_flight: 1,
             queued: 2,
--- a/crates/rhubarblanding_request/src/budget.rs
+++ b/crates/rhubarblanding_request/src/budget.rs
@@ -138,6 +138,14 @@
         state
     }
 
+    /// Takes one retry that is made in any case, for example a call of a request that was itself
+    /// sent again. The budget may go into debt by as much as `burst` retries.
+    pub fn charge(&mut self, now: MonoTime) {
+        self.refill(now);
+        let most = 2 * u64::from(self.settings.burst) * RETRY;
+        self.taken = (self.taken + RETRY).min(most.max(self.taken));
+    }
+
     fn refill(&mut self, now: MonoTime) {
         let elapsed = now.since(self.refilled_at).as_micros() as u64;
         self.refilled_at = self.refilled_at.max(now);
