--- /dev/null
+++ b/crates/rhubarblanding_mesh/tests/mesh/dialect.rs
@@ -0,0 +1,152 @@
+//! A dialect for tests: plain header names, JSON-free control calls, a fixed configuration format.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderName, Method, StatusCode};
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_mesh::dialect::{
+    ControlCall, ControlReply, DecodeError, Dialect, HeaderNames, InstanceId, InstanceLeave,
+    InstanceLife, InstanceReport, ReportedState,
+};
+use rhubarblanding_routing::table::{Configuration, RawBackend, RawConfiguration, RawRoute};
+use rhubarblanding_store::Key;
+use rhubarblanding_store::codec::{NativeCodec, StoreCodec};
+
+/// Key of the configuration.
+pub const CONFIGURATION_KEY: &str = "operators/configuration";
+
+/// Configuration: a version, then lines of `prefix service idempotent`.
+pub fn configuration_text(version: u64, routes: &[(&str, &str, bool)]) -> String {
+    let lines = routes
+        .iter()
+        .map(|(prefix, service, idempotent)| format!("\n{prefix} {service} {idempotent}"));
+    format!("{version}{}", lines.collect::<String>())
+}
+
+#[derive(Debug)]
+pub struct TestDialect {
+    headers: HeaderNames,
+}
+
+impl Default for TestDialect {
+    fn default() -> Self {
+        let name = HeaderName::from_static;
+        Self {
+            headers: HeaderNames {
+                request_id: name("t-id"),
+                deadline_ms: name("t-deadline"),
+                signature: name("t-signature"),
+                expected_instance: name("t-expected"),
+                not_executed: name("t-not-run"),
+                caller_service: name("t-caller"),
+            },
+        }
+    }
+}
+
+fn invalid(reason: &str) -> DecodeError {
+    DecodeError {
+        field: "body".to_owned(),
+        reason: reason.to_owned(),
+    }
+}
+
+impl Dialect for TestDialect {
+    fn headers(&self) -> &HeaderNames {
+        &self.headers
+    }
+
+    fn possible_parents<'a>(&self, request_id: &'a [u8]) -> Vec<&'a [u8]> {
+        let dot = request_id.iter().rposition(|b| *b == b'.');
+        dot.map(|dot| &request_id[..dot]).into_iter().collect()
+    }
+
+    /// `report SERVICE ID BORN SEQUENCE ready|draining SLOTS` or `leave ID`.
+    fn control_call(&self, _: &Method, _: &str, body: &[u8]) -> Result<ControlCall, DecodeError> {
+        let text = std::str::from_utf8(body).map_err(|_| invalid("not text"))?;
+        let words: Vec<&str> = text.split(' ').collect();
+        match words[..] {
+            ["report", service, id, born, sequence, state, slots] => {
+                let number = |text: &str| text.parse::<u64>().map_err(|_| invalid("no number"));
+                Ok(ControlCall::Report(InstanceReport {
+                    life: InstanceLife {
+                        born: UnixMillis(number(born)?),
+                        id: InstanceId(id.into()),
+                    },
+                    service: ServiceName::try_from(service).map_err(|_| invalid("service"))?,
+                    slots: number(slots)? as u32,
+                    state: match state {
+                        "ready" => ReportedState::Ready,
+                        "draining" => ReportedState::Draining,
+                        _ => return Err(invalid("state")),
+                    },
+                    warmup: Duration::ZERO,
+                    sequence: number(sequence)?,
+                }))
+            }
+            ["leave", id] => Ok(ControlCall::Leave(InstanceLeave {
+                id: InstanceId(id.into()),
+                born: None,
+            })),
+            _ => Err(invalid("no such call")),
+        }
+    }
+
+    fn acknowledge(&self) -> ControlReply {
+        ControlReply {
+            status: StatusCode::OK,
+            content_type: "text/plain",
+            body: Bytes::new(),
+        }
+    }
+
+    fn reject(&self, status: StatusCode, reason: &str) -> ControlReply {
+        ControlReply {
+            status,
+            content_type: "text/plain",
+            body: reason.to_owned().into(),
+        }
+    }
+
+    fn configuration(&self, value: &[u8]) -> Result<Configuration, DecodeError> {
+        let text = std::str::from_utf8(value).map_err(|_| invalid("not text"))?;
+        let mut lines = text.lines();
+        let version = lines.next().and_then(|line| line.parse().ok());
+        let routes = lines.filter_map(|line| {
+            let words: Vec<&str> = line.split(' ').collect();
+            let [prefix, service, idempotent] = words[..] else {
+                return None;
+            };
+            Some(RawRoute {
+                name: prefix.to_owned(),
+                host: "mesh.example".to_owned(),
+                path_prefix: prefix.to_owned(),
+                idempotent: idempotent == "true",
+                timeout_ms: 3_000,
+                objective_ms: 1_000,
+                rank: 0,
+                max_attempts: 2,
+                backends: vec![RawBackend {
+                    service: service.to_owned(),
+                    weight: 1,
+                }],
+            })
+        });
+        let raw = RawConfiguration {
+            version: version.ok_or_else(|| invalid("no version"))?,
+            routes: routes.collect(),
+            ..RawConfiguration::default()
+        };
+        Configuration::try_from(raw).map_err(|e| invalid(&e.to_string()))
+    }
+
+    fn configuration_key(&self) -> Key {
+        Key::from_static(CONFIGURATION_KEY)
+    }
+
+    fn store_codec(&self) -> Arc<dyn StoreCodec> {
+        Arc::new(NativeCodec)
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
@@ -0,0 +1,193 @@
+//! A fleet of nodes with their targets and a key-value service, all inside the test.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_mesh::prelude::*;
+use rhubarblanding_mesh::settings::{ListenSettings, RetryBound};
+use rhubarblanding_standins::process::free_addresses;
+use rhubarblanding_standins::store::StoreServer;
+use rhubarblanding_store::{Key, Revision, StoreClient, StoreSettings};
+
+use super::dialect::{CONFIGURATION_KEY, TestDialect, configuration_text};
+use super::target::Target;
+
+/// Longest wait for a fleet to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+
+type HttpClient = Client<HttpConnector, Full<bytes::Bytes>>;
+
+/// A node and its target.
+pub struct Host {
+    pub outbound: SocketAddr,
+    pub control: SocketAddr,
+    pub ready: SocketAddr,
+    pub metrics: SocketAddr,
+    pub service: &'static str,
+    pub target: Target,
+}
+
+/// An answer as a client sees it; `None` if the connection ended without one.
+pub type Answer = Option<(StatusCode, http::HeaderMap, String)>;
+
+pub struct Fleet {
+    pub hosts: Vec<Host>,
+    pub store: StoreServer,
+    client: HttpClient,
+    revision: Revision,
+}
+
+impl Fleet {
+    /// Starts a host for each of `services` and puts `routes` in force.
+    pub async fn start(services: &[&'static str], routes: &[(&str, &str, bool)]) -> Self {
+        let mut fleet = Self::without_configuration(services).await;
+        fleet.configure(1, routes).await;
+        for i in 0..fleet.hosts.len() {
+            fleet.report(i, 1, "ready").await;
+        }
+        fleet.wait_until_ready().await;
+        // The first reports are on their way to the other nodes.
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        fleet
+    }
+
+    pub async fn without_configuration(services: &[&'static str]) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let store = StoreServer::start(any).await.expect("a free port");
+        let mut hosts = Vec::new();
+        for service in services {
+            hosts.push(start_host(service, store.addr()).await);
+        }
+        Self {
+            hosts,
+            store,
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            revision: Revision::ABSENT,
+        }
+    }
+
+    pub async fn configure(&mut self, version: u64, routes: &[(&str, &str, bool)]) {
+        let store = StoreClient::new(StoreSettings {
+            addr: self.store.addr(),
+            ..StoreSettings::default()
+        });
+        let value = configuration_text(version, routes);
+        let key = Key::from_static(CONFIGURATION_KEY);
+        let put = store.compare_and_swap(&key, self.revision, value.into());
+        if let Ok(rhubarblanding_store::CasOutcome::Stored(revision)) = put.await {
+            self.revision = revision;
+        }
+    }
+
+    async fn wait_until_ready(&self) {
+        let began = Instant::now();
+        for host in &self.hosts {
+            while self.get(host.ready, "/").await.map(|a| a.0) != Some(StatusCode::OK) {
+                assert!(began.elapsed() < READY_TIMEOUT, "the fleet is not ready");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    /// Reports the state of a host's target; returns the status of the acknowledgement.
+    pub async fn report(&self, i: usize, sequence: u64, state: &str) -> Option<StatusCode> {
+        let service = self.hosts[i].service;
+        self.control(i, format!("report {service} i{i} 1 {sequence} {state} 8"))
+            .await
+    }
+
+    pub async fn control(&self, i: usize, body: String) -> Option<StatusCode> {
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}/", self.hosts[i].control))
+            .body(Full::from(body));
+        let resp = self.client.request(req.ok()?).await.ok()?;
+        Some(resp.status())
+    }
+
+    pub async fn get(&self, addr: SocketAddr, path: &str) -> Answer {
+        let req = Request::builder().uri(format!("http://{addr}{path}"));
+        self.send(req.body(Full::default()).ok()?).await
+    }
+
+    /// Sends a request of a client to the node of host `i`.
+    pub async fn request(&self, i: usize, path: &str, id: &str) -> Answer {
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{path}", self.hosts[i].outbound))
+            .header("host", "mesh.example")
+            .header("t-id", id)
+            .header("t-deadline", "2500")
+            .header("t-caller", "forged")
+            .header("rb-hop", "forged")
+            .body(Full::from("question"));
+        self.send(req.ok()?).await
+    }
+
+    async fn send(&self, req: Request<Full<bytes::Bytes>>) -> Answer {
+        let resp = self.client.request(req).await.ok()?;
+        let (parts, body) = resp.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        let text = String::from_utf8_lossy(&body).into_owned();
+        Some((parts.status, parts.headers, text))
+    }
+
+    /// Number of requests with this identifier that any target ran.
+    pub fn runs_of(&self, id: &str) -> usize {
+        let ran = self.hosts.iter().flat_map(|host| host.target.ran());
+        ran.filter(|head| super::target::header(head, "t-id") == Some(id))
+            .count()
+    }
+}
+
+async fn start_host(service: &'static str, store: SocketAddr) -> Host {
+    let target = Target::start().await.expect("a free port");
+    let free = free_addresses(5).expect("free ports");
+    let listen = ListenSettings {
+        outbound: free[0],
+        peer: free[1],
+        ready: free[2],
+        control: free[3],
+        metrics: free[4],
+    };
+    let settings = MeshSettings {
+        node_name: format!("node-{}", free[0]),
+        zone: ZoneName::try_from("ros").expect("a name"),
+        service: ServiceName::try_from(service).expect("a name"),
+        target_addr: target.addr,
+        listen: listen.clone(),
+        seeds: Vec::new(),
+        store: StoreSettings {
+            addr: store,
+            ..StoreSettings::default()
+        },
+        heartbeat: Duration::from_millis(1_500),
+        grace_period: Duration::from_secs(6),
+        retry_bound: RetryBound {
+            ratio: 0.2,
+            slack: 48.0,
+            window: Duration::from_secs(10),
+        },
+        source: "none".into(),
+    };
+    let same = settings.clone();
+    let source = Box::new(move || Ok(same.clone()));
+    let dialect = Arc::new(TestDialect::default());
+    let mesh = Mesh::start(settings, dialect, source).expect("a node");
+    tokio::spawn(mesh.run());
+    Host {
+        outbound: listen.outbound,
+        control: listen.control,
+        ready: listen.ready,
+        metrics: listen.metrics,
+        service,
+        target,
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/tests/mesh/main.rs
@@ -0,0 +1,222 @@
+//! Whole nodes with targets and a key-value service of their own: what clients and targets see.
+
+#![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
+
+mod dialect;
+mod fleet;
+mod target;
+
+use std::time::{Duration, Instant};
+
+use fleet::Fleet;
+use googletest::prelude::*;
+use target::{Behaviour, header};
+
+const ROUTES: &[(&str, &str, bool)] = &[("/safe/", "turnos", true), ("/once/", "turnos", false)];
+
+/// One entry host of another service and two targets that serve.
+async fn fleet() -> Fleet {
+    Fleet::start(&["egresos", "turnos", "turnos"], ROUTES).await
+}
+
+fn set_all(fleet: &Fleet, behaviour: Behaviour) {
+    for host in &fleet.hosts {
+        host.target.set(behaviour);
+    }
+}
+
+#[tokio::test]
+async fn request_reaches_a_target_of_its_service_with_the_headers_of_the_system() {
+    let fleet = fleet().await;
+    let (status, headers, body) = fleet
+        .request(0, "/once/a?b=c", "r1")
+        .await
+        .expect("an answer");
+    assert_that!(status.as_u16(), eq(200));
+    assert_that!(body.as_str(), eq("whole"));
+    assert_that!(headers.get("t-signature").is_some(), eq(true));
+    assert_that!(headers.get("rb-result").is_none(), eq(true));
+    let ran: Vec<String> = fleet.hosts.iter().flat_map(|h| h.target.ran()).collect();
+    assert_that!(ran.len(), eq(1));
+    let head = &ran[0];
+    assert_that!(head.as_str(), starts_with("POST /once/a?b=c HTTP/1.1"));
+    assert_that!(header(head, "host"), some(eq("mesh.example")));
+    assert_that!(header(head, "t-caller"), some(eq("egresos")));
+    assert_that!(header(head, "t-expected"), some(any![eq("i1"), eq("i2")]));
+    assert_that!(header(head, "rb-hop"), none());
+    let left: u64 = header(head, "t-deadline")
+        .and_then(|v| v.parse().ok())
+        .expect("a deadline");
+    assert_that!(left, all![gt(1_500), le(2_500)]);
+}
+
+/// What the client gets, and how often the request ran, while all targets behave alike.
+async fn ends_with(behaviour: Behaviour, path: &str, status: u16, runs: usize) {
+    let fleet = fleet().await;
+    set_all(&fleet, behaviour);
+    let (got, headers, _) = fleet.request(0, path, "r1").await.expect("an answer");
+    assert_that!(got.as_u16(), eq(status));
+    assert_that!(fleet.runs_of("r1"), eq(runs));
+    // An answer of the system itself never looks like one of a target.
+    let is_own = matches!(status, 502..=504);
+    assert_that!(headers.contains_key("t-signature"), eq(!is_own));
+}
+
+macro_rules! endings {
+    ($($name:ident: ($($arg:expr),*);)+) => {
+        $(#[tokio::test] async fn $name() { ends_with($($arg),*).await; })+
+    };
+}
+
+endings! {
+    lost_answer_is_not_asked_for_again: (Behaviour::Lose, "/once/x", 502, 1);
+    lost_answer_is_asked_for_again_if_it_may_run_twice: (Behaviour::Lose, "/safe/x", 502, 2);
+    cut_answer_is_not_delivered: (Behaviour::Cut, "/once/x", 502, 1);
+    answer_of_another_request_is_not_delivered: (Behaviour::Foreign, "/once/x", 502, 1);
+    encoded_answer_is_not_delivered: (Behaviour::Encoded, "/once/x", 502, 1);
+    shed_request_did_not_run: (Behaviour::Shed, "/once/x", 503, 0);
+    failure_is_delivered: (Behaviour::Fail, "/once/x", 500, 1);
+    failure_is_tried_again_if_it_may_run_twice: (Behaviour::Fail, "/safe/x", 500, 2);
+}
+
+#[tokio::test]
+async fn one_target_makes_good_what_another_lost() {
+    let fleet = fleet().await;
+    fleet.hosts[1].target.set(Behaviour::Lose);
+    for i in 0..3 {
+        let id = format!("r{i}");
+        let (status, _, body) = fleet.request(0, "/safe/x", &id).await.expect("an answer");
+        assert_that!(status.as_u16(), eq(200));
+        assert_that!(body.as_str(), eq("whole"));
+    }
+}
+
+/// An extra answer on a kept connection must not become the next request's answer.
+#[tokio::test]
+async fn extra_answers_belong_to_nobody() {
+    let fleet = fleet().await;
+    set_all(&fleet, Behaviour::Extra);
+    for i in 0..20 {
+        let id = format!("r{i}");
+        let (_, _, body) = fleet.request(0, "/once/x", &id).await.expect("an answer");
+        assert_that!(body.as_str(), not(eq("extra")));
+        assert_that!(fleet.runs_of(&id), le(1));
+    }
+}
+
+#[tokio::test]
+async fn unknown_route_and_missing_configuration_are_told_apart() {
+    let mut fleet = Fleet::without_configuration(&["turnos"]).await;
+    let (status, headers, _) = fleet.request(0, "/safe/x", "r1").await.expect("an answer");
+    assert_that!(status.as_u16(), eq(503));
+    assert_that!(headers.contains_key("retry-after"), eq(true));
+    fleet.configure(1, ROUTES).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let (status, _, _) = fleet
+        .request(0, "/nothing/x", "r2")
+        .await
+        .expect("an answer");
+    assert_that!(status.as_u16(), eq(404));
+}
+
+#[tokio::test]
+async fn draining_target_gets_no_new_work_after_the_acknowledgement() {
+    let fleet = fleet().await;
+    assert_that!(
+        fleet.report(1, 2, "draining").await.map(|s| s.as_u16()),
+        some(eq(200))
+    );
+    let before = fleet.hosts[1].target.arrived();
+    for i in 0..10 {
+        let (status, _, _) = fleet
+            .request(0, "/once/x", &format!("r{i}"))
+            .await
+            .expect("an answer");
+        assert_that!(status.as_u16(), eq(200));
+    }
+    // A late report of the same life changes nothing.
+    fleet.report(1, 3, "ready").await;
+    fleet.request(0, "/once/x", "late").await;
+    assert_that!(fleet.hosts[1].target.arrived(), eq(before));
+}
+
+#[tokio::test]
+async fn target_that_left_is_refused_after_a_report_that_was_delayed() {
+    let fleet = fleet().await;
+    fleet.control(1, "leave i1".to_owned()).await;
+    fleet.report(1, 9, "ready").await;
+    for i in 0..6 {
+        fleet.request(0, "/once/x", &format!("r{i}")).await;
+    }
+    assert_that!(fleet.hosts[1].target.arrived(), eq(0));
+}
+
+#[tokio::test]
+async fn work_ends_when_the_client_leaves() {
+    let fleet = fleet().await;
+    set_all(&fleet, Behaviour::Work);
+    let request = fleet.request(0, "/safe/x", "r1");
+    let _ = tokio::time::timeout(Duration::from_millis(300), request).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let closed = fleet
+        .hosts
+        .iter()
+        .find_map(|h| h.target.closed_while_working());
+    assert_that!(closed, some(le(Duration::from_millis(800))));
+}
+
+#[tokio::test]
+async fn later_configuration_is_followed_and_an_earlier_one_is_not() {
+    let mut fleet = fleet().await;
+    fleet.configure(3, &[("/safe/", "egresos", true)]).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.request(1, "/safe/x", "r1").await.expect("an answer");
+    assert_that!(fleet.hosts[0].target.arrived(), eq(1));
+    fleet.configure(2, ROUTES).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.request(1, "/safe/x", "r2").await.expect("an answer");
+    assert_that!(fleet.hosts[0].target.arrived(), eq(2));
+}
+
+/// Nodes serve with what they know while the key-value service is away.
+#[tokio::test]
+async fn requests_are_served_while_the_store_is_away() {
+    let fleet = fleet().await;
+    fleet
+        .store
+        .set_faults(rhubarblanding_standins::store::Faults {
+            outage: true,
+            ..Default::default()
+        });
+    let began = Instant::now();
+    for i in 0..5 {
+        let (status, _, _) = fleet
+            .request(0, "/once/x", &format!("r{i}"))
+            .await
+            .expect("an answer");
+        assert_that!(status.as_u16(), eq(200));
+    }
+    assert_that!(began.elapsed(), lt(Duration::from_secs(1)));
+    let acknowledged = fleet.report(1, 2, "draining").await.map(|s| s.as_u16());
+    assert_that!(acknowledged, some(eq(200)));
+    assert_that!(began.elapsed(), lt(Duration::from_secs(2)));
+}
+
+#[tokio::test]
+async fn metrics_are_text_with_refusals_and_latency() {
+    let fleet = fleet().await;
+    fleet.request(0, "/safe/x", "r1").await;
+    fleet.request(0, "/nothing/x", "r2").await;
+    let metrics = fleet
+        .get(fleet.hosts[0].metrics, "/metrics")
+        .await
+        .expect("an answer")
+        .2;
+    for line in [
+        "rhubarblanding_refusals_total{reason=\"unknown_route\"} 1",
+        "rhubarblanding_answers_total{status=\"200\"} 1",
+        "rhubarblanding_answer_seconds_count 1",
+    ] {
+        assert_that!(metrics.as_str(), contains_substring(line));
+    }
+}
--- /dev/null
+++ b/crates/rhubarblanding_mesh/tests/mesh/target.rs
@@ -0,0 +1,176 @@
+//! A target that answers, loses, sheds or spoils what it is told to.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What the target does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Runs it and answers.
+    Answer,
+    /// Runs it and closes the connection.
+    Lose,
+    /// Refuses it without running it.
+    Shed,
+    /// Runs it and answers with a failure.
+    Fail,
+    /// Runs it and answers with another request's identifier.
+    Foreign,
+    /// Runs it and answers with an encoded body.
+    Encoded,
+    /// Runs it and breaks the answer off.
+    Cut,
+    /// Answers, then sends an answer that nobody asked for.
+    Extra,
+    /// Works until the connection is closed, for 3 s at most.
+    Work,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    /// Heads of the requests that were run.
+    ran: Vec<String>,
+    arrived: usize,
+    closed_while_working: Option<Duration>,
+}
+
+/// A target that runs inside the test.
+#[derive(Clone, Debug)]
+pub struct Target {
+    pub addr: SocketAddr,
+    behaviour: Arc<Mutex<Behaviour>>,
+    seen: Arc<Mutex<Seen>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Target {
+    pub async fn start() -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let target = Self {
+            addr: listener.local_addr()?,
+            behaviour: Arc::new(Mutex::new(Behaviour::Answer)),
+            seen: Arc::default(),
+        };
+        let accepting = target.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let target = accepting.clone();
+                tokio::spawn(async move { target.serve(stream).await });
+            }
+        });
+        Ok(target)
+    }
+
+    pub fn set(&self, behaviour: Behaviour) {
+        *lock(&self.behaviour) = behaviour;
+    }
+
+    /// Heads of the requests that were run.
+    pub fn ran(&self) -> Vec<String> {
+        lock(&self.seen).ran.clone()
+    }
+
+    /// Number of requests that arrived.
+    pub fn arrived(&self) -> usize {
+        lock(&self.seen).arrived
+    }
+
+    /// Time after which a connection was closed while its request ran.
+    pub fn closed_while_working(&self) -> Option<Duration> {
+        lock(&self.seen).closed_while_working
+    }
+
+    async fn serve(&self, mut stream: TcpStream) {
+        while let Some(head) = read_request(&mut stream).await {
+            lock(&self.seen).arrived += 1;
+            let behaviour = *lock(&self.behaviour);
+            if behaviour != Behaviour::Shed {
+                lock(&self.seen).ran.push(head.clone());
+            }
+            if behaviour == Behaviour::Work {
+                self.work(&mut stream).await;
+                return;
+            }
+            let answer = answer(behaviour, &head);
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+            if matches!(behaviour, Behaviour::Lose | Behaviour::Cut) {
+                return;
+            }
+        }
+    }
+
+    async fn work(&self, stream: &mut TcpStream) {
+        let began = std::time::Instant::now();
+        let mut buf = [0; 1];
+        let read = tokio::time::timeout(Duration::from_secs(3), stream.read(&mut buf)).await;
+        if read.is_ok() {
+            lock(&self.seen).closed_while_working = Some(began.elapsed());
+        }
+    }
+}
+
+/// Value of a header in a head.
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut buf = Vec::new();
+    let end = loop {
+        if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
+            break end + 4;
+        }
+        if stream.read_buf(&mut buf).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+    let body = header(&head, "content-length").and_then(|v| v.parse().ok());
+    let mut left = body.unwrap_or(0usize).saturating_sub(buf.len() - end);
+    while left > 0 {
+        let mut chunk = vec![0; left];
+        match stream.read(&mut chunk).await.ok()? {
+            0 => return None,
+            n => left -= n,
+        }
+    }
+    Some(head)
+}
+
+fn answer(behaviour: Behaviour, head: &str) -> String {
+    let id = header(head, "t-id").unwrap_or_default();
+    let with = |status: &str, id: &str, more: &str, body: &str| {
+        format!(
+            "HTTP/1.1 {status}\r\nt-id: {id}\r\n{more}content-length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    };
+    let signed = "t-signature: s\r\n";
+    match behaviour {
+        Behaviour::Answer => with("200 OK", id, signed, "whole"),
+        Behaviour::Lose | Behaviour::Work => String::new(),
+        Behaviour::Shed => with("503 Service Unavailable", id, "t-not-run: 1\r\n", ""),
+        Behaviour::Fail => with("500 Internal Server Error", id, signed, "failed"),
+        Behaviour::Foreign => with("200 OK", "another", signed, "foreign"),
+        Behaviour::Encoded => with("200 OK", id, "content-encoding: gzip\r\n", "xx"),
+        Behaviour::Cut => {
+            format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\ncontent-length: 99\r\n\r\nhalf")
+        }
+        Behaviour::Extra => {
+            let first = with("200 OK", id, signed, "whole");
+            first + &with("200 OK", id, signed, "extra")
+        }
+    }
+}
