Print one request's way through the log lines of several nodes

'rhubarblanding explain ID FILE...' joins lines of several nodes by time, with the calls of the request and the changes of belief about its services and hosts. Four cases in tests/cli pass.

--- a/crates/rhubarblanding_mesh/tests/hop.rs
+++ b/crates/rhubarblanding_mesh/tests/hop.rs
@@ -1,7 +1,5 @@
 //! Headers between nodes survive their text form, and other text is refused.
 
-#![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
-
 use std::time::Duration;
 
 use googletest::prelude::*;
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -57,9 +57,34 @@
         .subcommand(drain())
         .subcommand(log_level())
         .subcommand(check())
+        .subcommand(explain_command())
         .subcommand(completions_command())
 }
 
+fn explain_command() -> Command {
+    Command::new("explain")
+        .about("Prints one request's way through the log lines of several nodes")
+        .long_about(
+            "Prints the lines about one request and its calls (marked >), and the changes of what \
+             the nodes believed about its services and hosts around them. Lines may have a prefix \
+             that names the node; without one, the file's name does.",
+        )
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required(true)
+                .help("Identifier of the request"),
+        )
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Files with log lines"),
+        )
+}
+
 fn ticket() -> Command {
     Command::new("ticket")
         .about("Submits and shows change tickets")
--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,158 @@
+//! `explain`: the way of one request through the log lines of several nodes.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+use clap::ArgMatches;
+use serde_json::{Map, Value};
+
+use super::exit::Exit;
+use super::output;
+
+/// Milliseconds before the request's first line and after its last one in which changes of what
+/// the nodes believed are shown.
+const CONTEXT_MS: u64 = 3_000;
+/// Beginnings of the events that are changes of belief.
+const BELIEFS: [&str; 9] = [
+    "target_",
+    "configuration_",
+    "registration_",
+    "nodes_",
+    "departure",
+    "peer_connection_lost",
+    "declared_down",
+    "watch of",
+    "node is",
+];
+
+/// One log line.
+#[derive(Clone, Debug)]
+struct Line {
+    /// Text before the object: a node's name and a time, where lines of several nodes are joined.
+    origin: String,
+    at_ms: u64,
+    event: String,
+    fields: Map<String, Value>,
+}
+
+impl Line {
+    fn parse(raw: &str, file: &str) -> Option<Self> {
+        let start = raw.find('{')?;
+        let value: Value = serde_json::from_str(raw[start..].trim_end()).ok()?;
+        let Value::Object(mut fields) = value else {
+            return None;
+        };
+        let at_ms = fields.remove("at_ms")?.as_u64()?;
+        let event = fields.remove("event")?.as_str()?.to_owned();
+        let prefix = raw[..start]
+            .split_whitespace()
+            .collect::<Vec<_>>()
+            .join(" ");
+        Some(Self {
+            origin: if prefix.is_empty() {
+                file.to_owned()
+            } else {
+                prefix
+            },
+            at_ms,
+            event,
+            fields,
+        })
+    }
+
+    /// Whether the line is about the request or one of its calls, whose identifiers begin with its
+    /// own and a dot.
+    fn is_of(&self, id: &str) -> bool {
+        let own = self.fields.get("id").and_then(Value::as_str);
+        own.and_then(|own| own.strip_prefix(id))
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+    }
+
+    fn is_belief(&self) -> bool {
+        self.event != "target_failed" && BELIEFS.iter().any(|b| self.event.starts_with(b))
+    }
+
+    /// Whether it shares a service or host with the lines of the request.
+    fn concerns(&self, names: &[&str]) -> bool {
+        let named = ["service", "host", "peer"]
+            .iter()
+            .filter_map(|f| self.fields.get(*f));
+        let mut named = named.filter_map(Value::as_str).peekable();
+        named.peek().is_none() || named.any(|name| names.contains(&name))
+    }
+
+    fn print(&self, mark: &str, first_ms: u64) {
+        let after = self.at_ms as i64 - first_ms as i64;
+        let fields: Vec<String> = self
+            .fields
+            .iter()
+            .filter(|(name, _)| *name != "level")
+            .map(|(name, value)| match value {
+                Value::String(text) => format!("{name}={text}"),
+                other => format!("{name}={other}"),
+            })
+            .collect();
+        let (origin, event) = (&self.origin, &self.event);
+        output::line(format!(
+            "{mark} {after:>+7} ms  {origin}  {event}  {}",
+            fields.join(" ")
+        ));
+    }
+}
+
+fn read(path: &Path) -> std::io::Result<Vec<Line>> {
+    let name = path.display().to_string();
+    let mut lines = Vec::new();
+    for raw in BufReader::new(File::open(path)?).split(b'\n') {
+        let raw = raw?;
+        lines.extend(Line::parse(&String::from_utf8_lossy(&raw), &name));
+    }
+    Ok(lines)
+}
+
+/// Prints the lines about a request and the changes of belief around them, in order of time.
+pub fn run(matches: &ArgMatches) -> Exit {
+    let Some(id) = matches.get_one::<String>("id") else {
+        return Exit::BadInput;
+    };
+    let mut lines = Vec::new();
+    for path in matches.get_many::<PathBuf>("file").into_iter().flatten() {
+        match read(path) {
+            Ok(read) => lines.extend(read),
+            Err(e) => {
+                output::complain(format!("{}: {e}", path.display()));
+                return Exit::BadInput;
+            }
+        }
+    }
+    lines.sort_by_key(|line| line.at_ms);
+    explain(id, &lines)
+}
+
+fn explain(id: &str, lines: &[Line]) -> Exit {
+    let own: Vec<&Line> = lines.iter().filter(|line| line.is_of(id)).collect();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else {
+        output::complain(format!("no line is about request {id}"));
+        return Exit::BadInput;
+    };
+    let names: Vec<&str> = own
+        .iter()
+        .flat_map(|line| ["service", "host"].map(|f| line.fields.get(f)))
+        .flatten()
+        .filter_map(Value::as_str)
+        .collect();
+    let from = first.at_ms.saturating_sub(CONTEXT_MS);
+    let to = last.at_ms + CONTEXT_MS;
+    let near = lines
+        .iter()
+        .filter(|line| (from..=to).contains(&line.at_ms));
+    for line in near {
+        if line.is_of(id) {
+            line.print(">", first.at_ms);
+        } else if line.is_belief() && line.concerns(&names) {
+            line.print(" ", first.at_ms);
+        }
+    }
+    Exit::Ok
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod command;
 mod control;
 mod exit;
+mod explain;
 mod output;
 mod status;
 mod submit;
@@ -74,6 +75,7 @@
     fn run_client(&self, name: &str, matches: &ArgMatches) -> Exit {
         match name {
             "check" => check::run(matches),
+            "explain" => explain::run(matches),
             "completions" => command::completions(self.command(), matches),
             "ticket" => match matches.subcommand() {
                 Some(("submit", matches)) => client::block_on(submit::run(matches)),
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -28,6 +28,16 @@
     file_that_is_not_there: (&["check", "none.json"], 2, "none.json: ");
     checked_as_json: (&["check", "--json", LITORAL], 0, "\"ticket\": 1");
     settings_are_missing: (&["check", "--settings"], 2, "operator-listen");
+    explained_with_its_calls: (
+        &["explain", "r1", "tests/data/explain.log"], 0, "+20 ms  7.020 node-b  refused  id=r1.c1"
+    );
+    explained_with_beliefs: (
+        &["explain", "r1", "tests/data/explain.log"], 0, "-500 ms  6.500 node-a  target_down"
+    );
+    request_without_lines: (
+        &["explain", "r", "tests/data/explain.log"], 2, "no line is about request r"
+    );
+    lines_that_are_not_there: (&["explain", "r1", "none.log"], 2, "none.log: ");
     nothing_to_check: (&["check"], 2, "<FILE>");
     no_subcommand: (&[], 2, "Examples:");
     help: (&["--help"], 0, "Exit codes:");
