--- a/crates/rhubarblanding_admission/src/slots/gate.rs
+++ b/crates/rhubarblanding_admission/src/slots/gate.rs
@@ -41,7 +41,7 @@
             patience: 0.9,
             queue_per_slot: 16.0,
             pace: 0.7,
-            pace_free_share: 0.1,
+            pace_free_share: 0.2,
             retry_after_min: Duration::from_millis(50),
             retry_after_max: Duration::from_secs(2),
         }
--- a/crates/rhubarblanding_admission/src/slots/pace.rs
+++ b/crates/rhubarblanding_admission/src/slots/pace.rs
@@ -24,6 +24,7 @@
     /// Completions in each of the last intervals, newest last.
     completed: VecDeque<u32>,
     newest: u64,
+    first_at: Option<MonoTime>,
 }
 
 /// Requests of all kinds.
@@ -57,7 +58,8 @@
 }
 
 impl Pace {
-    /// Whether one more request may be open, each of which is to take `time` at most.
+    /// Whether one more request may be open, each of which is to take `time` at most. `least` may
+    /// be open in any case, and any number until the rate of completions is known.
     pub(super) fn has_room(
         &mut self,
         now: MonoTime,
@@ -67,6 +69,11 @@
     ) -> bool {
         let kind = self.kinds.entry(kind).or_default();
         kind.advance(now);
+        let first_at = *kind.first_at.get_or_insert(now);
+        if now.since(first_at) < BUCKET * BUCKETS as u32 {
+            // The rate is not known yet.
+            return true;
+        }
         let most = kind.rate() * time.as_secs_f64();
         f64::from(kind.open) < most.max(f64::from(least))
     }
--- a/crates/rhubarblanding_mesh/src/process/events.rs
+++ b/crates/rhubarblanding_mesh/src/process/events.rs
@@ -19,8 +19,8 @@
         service: &'a ServiceName,
         /// Version of the configuration that decided.
         version: DocVersion,
-        /// Number of targets asked.
-        tried: usize,
+        /// Hosts of the targets asked.
+        tried: &'a [HostId],
         /// Time since it arrived.
         waited: Duration,
     },
@@ -63,7 +63,8 @@
                 waited,
             } => log::info!(
                 id = id, reason:% = kind, retry_ms = retry_ms, service:% = service,
-                version = version.0, tried = tried, waited_us = waited.as_micros() as u64,
+                version = version.0, tried = tried.len(),
+                host:% = tried.last().map(HostId::to_string).unwrap_or_default(), waited_us = waited.as_micros() as u64,
                 known_targets = self.targets.len(service);
                 "refused"
             ),
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -265,7 +265,7 @@
     let ending_at = Ending::After {
         service: &exchange.service,
         version: exchange.route.version(),
-        tried: attempts.tried.len(),
+        tried: &attempts.tried,
         waited: node.clock.now().since(exchange.began),
     };
     node.log_refusal(Some(&exchange.id), ending, ending_at);
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -73,7 +73,12 @@
         self.event != "target_failed" && BELIEFS.iter().any(|b| self.event.starts_with(b))
     }
 
-    /// Whether it shares a service or host with the lines of the request.
+    /// Node that wrote the line; what comes before its name is a time.
+    fn node(&self) -> &str {
+        self.origin.rsplit(' ').next().unwrap_or_default()
+    }
+
+    /// Whether it shares a service or host with the lines of the request, or names none.
     fn concerns(&self, names: &[&str]) -> bool {
         let named = ["service", "host", "peer"]
             .iter()
@@ -142,6 +147,7 @@
         .flatten()
         .filter_map(Value::as_str)
         .collect();
+    let nodes: Vec<&str> = own.iter().map(|line| line.node()).collect();
     let from = first.at_ms.saturating_sub(CONTEXT_MS);
     let to = last.at_ms + CONTEXT_MS;
     let near = lines
@@ -150,7 +156,7 @@
     for line in near {
         if line.is_of(id) {
             line.print(">", first.at_ms);
-        } else if line.is_belief() && line.concerns(&names) {
+        } else if line.is_belief() && nodes.contains(&line.node()) && line.concerns(&names) {
             line.print(" ", first.at_ms);
         }
     }
