Answer every request until a stopping node is gone

Ruled out: the target (still at work). Change: new requests of clients are taken for 2.9 s and then refused with a time to come back, calls of running requests go on, and the node ends once nothing came for 0.7 s, or half a second before the grace period does. Lines of the last moment are written. Test: stopping_node_answers_everything_that_it_reads.

--- a/crates/rhubarblanding_mesh/src/process/mesh.rs
+++ b/crates/rhubarblanding_mesh/src/process/mesh.rs
@@ -33,6 +33,12 @@
 /// Time after the signal to stop in which the platform takes this node's clients away: two
 /// questions, a second apart, and what is on the way.
 const STOP_CLIENTS: Duration = Duration::from_millis(2_600);
+/// Time without a request after which clients are taken to have gone. Those that keep a connection
+/// to a stopping node use it several times a second.
+const STOP_QUIET: Duration = Duration::from_millis(700);
+/// Time after the signal to stop after which new requests of clients are refused, with a time to
+/// come back, so that those taken before can end.
+const STOP_TAKING: Duration = Duration::from_millis(2_900);
 /// Part of the grace period that is left for ending the process.
 const STOP_RESERVE: Duration = Duration::from_millis(500);
 /// Time between two looks at the open requests while stopping.
@@ -119,12 +125,19 @@
     }
 
     /// Serves until the signal to stop, then finishes what is open.
-    pub async fn run(mut self) {
+    pub async fn run(self) {
+        self.run_until(std::future::pending()).await;
+    }
+
+    /// Serves until the signal to stop or until `stop` completes, then finishes what is open.
+    pub async fn run_until(mut self, stop: impl Future<Output = ()>) {
+        tokio::pin!(stop);
         let lifecycle = self.lifecycle.serve();
         let mut modified = modified(&self.node);
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => break,
+                () = &mut stop => break,
                 _ = self.hangup.recv() => reload(&self.node, &self.source),
                 () = tokio::time::sleep(SETTINGS_INTERVAL) => {
                     let now = self::modified(&self.node);
@@ -136,8 +149,7 @@
             }
         }
         let lifecycle = lifecycle.drain();
-        drain(&self.node).await;
-        self.stop.send_replace(true);
+        drain(&self.node, &self.stop).await;
         lifecycle.stop();
     }
 }
@@ -161,21 +173,33 @@
 }
 
 /// Finishes what is open: new work is taken until the clients have been led elsewhere.
-async fn drain(node: &Arc<Shared>) {
+async fn drain(node: &Arc<Shared>, stop: &watch::Sender<bool>) {
     let began = tokio::time::Instant::now();
     node.set_stopping();
     node.announce();
     tokio::time::sleep(STOP_SPREAD).await;
     node.refuse_peers();
-    let grace = node.settings().grace_period.saturating_sub(STOP_RESERVE);
+    let end = node.settings().grace_period.saturating_sub(STOP_RESERVE);
     loop {
         let elapsed = began.elapsed();
-        let is_done = elapsed >= STOP_CLIENTS && node.open_requests() == 0;
-        if is_done || elapsed >= grace {
+        if elapsed >= STOP_TAKING {
+            node.refuse_clients();
+        }
+        let is_quiet = node.open_requests() == 0 && node.quiet_time() >= STOP_QUIET;
+        if elapsed >= end || (is_quiet && elapsed >= STOP_CLIENTS) {
             break;
         }
         tokio::time::sleep(STOP_POLL).await;
     }
+    node.refuse_clients();
+    stop.send_replace(true);
+    loop {
+        // What has arrived at the last moment is to be read before it is looked for.
+        tokio::time::sleep(STOP_POLL).await;
+        if node.open_requests() == 0 || began.elapsed() >= end {
+            break;
+        }
+    }
     log::info!(open_requests = node.open_requests(); "drained");
     node.member_input(Input::Announce {
         state: TargetState::Stopped,
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -1,7 +1,7 @@
 //! State that all parts of a process share.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -75,7 +75,10 @@
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     stopping: AtomicBool,
     refusing_peers: AtomicBool,
+    refusing_clients: AtomicBool,
     open_requests: AtomicUsize,
+    /// Time at which a request began or ended last, in microseconds.
+    request_at: AtomicU64,
     me: HostId,
 }
 
@@ -119,7 +122,9 @@
             budgets: Mutex::default(),
             stopping: AtomicBool::new(false),
             refusing_peers: AtomicBool::new(false),
+            refusing_clients: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
+            request_at: AtomicU64::new(0),
             me,
             clock,
             dialect,
@@ -188,12 +193,34 @@
         self.refusing_peers.store(true, Ordering::Relaxed);
     }
 
+    /// Whether new requests of clients are refused. Calls of requests that still run are not.
+    pub fn is_refusing_clients(&self) -> bool {
+        self.refusing_clients.load(Ordering::Relaxed)
+    }
+
+    /// Refuses new requests of clients from now on.
+    pub fn refuse_clients(&self) {
+        self.refusing_clients.store(true, Ordering::Relaxed);
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub fn open_request(self: &Arc<Self>) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
+        self.note_request();
         OpenRequest(Arc::clone(self))
     }
 
+    fn note_request(&self) {
+        let now = self.clock.now().as_micros();
+        self.request_at.store(now, Ordering::Relaxed);
+    }
+
+    /// Time since a request began or ended.
+    pub fn quiet_time(&self) -> Duration {
+        let at = MonoTime::from_micros(self.request_at.load(Ordering::Relaxed));
+        self.clock.now().since(at)
+    }
+
     /// Number of open requests.
     pub fn open_requests(&self) -> usize {
         self.open_requests.load(Ordering::Relaxed)
@@ -284,6 +311,7 @@
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+        self.0.note_request();
     }
 }
 
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -30,6 +30,10 @@
 /// target: both are mended within a second or two.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
+/// Time after which a client that is refused by a stopping node is told to come back, to another
+/// node.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
+
 /// A request that is being served.
 struct Exchange {
     id: HeaderValue,
@@ -107,6 +111,11 @@
     let Some(route) = ChosenRoute::find(&version, &host, parts.uri.path()) else {
         return Err(reject(ErrorKind::UnknownRoute, None));
     };
+    let parents = node.dialect.possible_parents(request_id.as_bytes());
+    let lineage = node.local.inherited(&parents);
+    if node.is_refusing_clients() && lineage.is_none() {
+        return Err(reject(ErrorKind::NodeDraining, Some(STOPPING_RETRY)));
+    }
     let limit = version.configuration().limits.body_bytes;
     let body = match Limited::new(body, limit).collect().await {
         Ok(body) => body.to_bytes(),
@@ -121,8 +130,6 @@
         .map(Duration::from_millis);
     let timeout = route.route().timeout;
     let deadline = began + told.map_or(timeout, |told| told.min(timeout));
-    let parents = node.dialect.possible_parents(request_id.as_bytes());
-    let lineage = node.local.inherited(&parents);
     let own_end = began + route.route().objective;
     let objective = lineage.map_or(own_end, |l| l.objective).min(deadline);
     let rank = lineage.map_or(route.route().rank, |l| l.rank);
--- a/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
@@ -14,6 +14,8 @@
 use rhubarblanding_mesh::settings::{ListenSettings, RetryBound};
 use rhubarblanding_standins::process::free_addresses;
 use rhubarblanding_standins::store::StoreServer;
+use tokio::sync::oneshot;
+
 use rhubarblanding_store::{Key, Revision, StoreClient, StoreSettings};
 
 use super::dialect::{CONFIGURATION_KEY, TestDialect, configuration_text};
@@ -32,6 +34,7 @@
     pub metrics: SocketAddr,
     pub service: &'static str,
     pub target: Target,
+    stop: Option<oneshot::Sender<()>>,
 }
 
 /// An answer as a client sees it; `None` if the connection ended without one.
@@ -86,6 +89,13 @@
         }
     }
 
+    /// Begins a planned stop of host `i`.
+    pub fn stop(&mut self, i: usize) {
+        if let Some(stop) = self.hosts[i].stop.take() {
+            let _ = stop.send(());
+        }
+    }
+
     async fn wait_until_ready(&self) {
         let began = Instant::now();
         for host in &self.hosts {
@@ -181,7 +191,11 @@
     let source = Box::new(move || Ok(same.clone()));
     let dialect = Arc::new(TestDialect::default());
     let mesh = Mesh::start(settings, dialect, source).expect("a node");
-    tokio::spawn(mesh.run());
+    let (stop, stopped) = oneshot::channel();
+    tokio::spawn(mesh.run_until(async move {
+        // A fleet that is dropped stops its nodes as well.
+        let _ = stopped.await;
+    }));
     Host {
         outbound: listen.outbound,
         control: listen.control,
@@ -189,5 +203,6 @@
         metrics: listen.metrics,
         service,
         target,
+        stop: Some(stop),
     }
 }
--- a/crates/rhubarblanding_mesh/tests/mesh/main.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/main.rs
@@ -220,3 +220,40 @@
         assert_that!(metrics.as_str(), contains_substring(line));
     }
 }
+
+/// Clients that keep their connections to a stopping node get an answer to each request until the
+/// node is gone; what was not run is refused with a time to come back.
+#[tokio::test]
+async fn stopping_node_answers_everything_that_it_reads() {
+    let mut fleet = fleet().await;
+    fleet.stop(0);
+    let began = Instant::now();
+    let mut refused = 0;
+    let mut sent = 0;
+    while began.elapsed() < Duration::from_secs(7) {
+        let id = format!("r{sent}");
+        sent += 1;
+        let Some((status, headers, _)) = fleet.request(0, "/once/x", &id).await else {
+            // Once it does not listen any more, nothing is read and nothing may run.
+            assert_that!(fleet.runs_of(&id), eq(0));
+            assert_that!(began.elapsed(), gt(Duration::from_secs(5)));
+            break;
+        };
+        assert_that!(headers.contains_key("connection"), eq(true));
+        let runs = match status.as_u16() {
+            200 => 1,
+            503 => 0,
+            other => return assert_that!(other, eq(200)),
+        };
+        assert_that!(fleet.runs_of(&id), eq(runs));
+        refused += 1 - runs;
+        tokio::time::sleep(Duration::from_millis(15)).await;
+    }
+    assert_that!(refused, gt(0));
+    assert_that!(sent, gt(refused));
+    let (status, _, _) = fleet
+        .request(1, "/once/x", "after")
+        .await
+        .expect("an answer");
+    assert_that!(status.as_u16(), eq(200));
+}
--- a/crates/rhubarblanding_node/src/process/json_lines.rs
+++ b/crates/rhubarblanding_node/src/process/json_lines.rs
@@ -26,6 +26,11 @@
 /// Length of the time over which lines of one event are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Longest wait for the writing thread when the process ends.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+/// Time between two looks at what the writing thread has written.
+const FLUSH_POLL: Duration = Duration::from_millis(2);
+
 #[derive(Debug, Default)]
 struct EventRate {
     written: u32,
@@ -44,7 +49,10 @@
 struct JsonLines {
     pending: Mutex<Pending>,
     batches: SyncSender<Vec<u8>>,
-    dropped: Arc<AtomicU64>,
+    dropped: AtomicU64,
+    /// Batches handed over and batches written.
+    handed: AtomicU64,
+    written: Arc<AtomicU64>,
 }
 
 /// Starts the logger of this process: JSON lines on standard output.
@@ -57,10 +65,12 @@
 /// Fails if a logger was started before or the writing thread cannot be started.
 pub fn start(level: log::LevelFilter) -> Result<LoggerHandle, FlexiLoggerError> {
     let (batches, rx) = sync_channel(BATCHES_WAITING);
+    let done = Arc::new(AtomicU64::new(0));
+    let written = Arc::clone(&done);
     std::thread::Builder::new()
         .name("log".to_owned())
         .stack_size(64 * 1024)
-        .spawn(move || write_batches(&rx))?;
+        .spawn(move || write_batches(&rx, &written))?;
     let now = Instant::now();
     let writer = JsonLines {
         pending: Mutex::new(Pending {
@@ -70,7 +80,9 @@
             rates: HashMap::default(),
         }),
         batches,
-        dropped: Arc::new(AtomicU64::new(0)),
+        dropped: AtomicU64::new(0),
+        handed: AtomicU64::new(0),
+        written: done,
     };
     let spec = LogSpecification::builder()
         .default(level.min(log::LevelFilter::Warn))
@@ -82,13 +94,14 @@
     Logger::with(spec).log_to_writer(Box::new(writer)).start()
 }
 
-fn write_batches(batches: &Receiver<Vec<u8>>) {
+fn write_batches(batches: &Receiver<Vec<u8>>, written: &AtomicU64) {
     let mut out = std::io::stdout();
     while let Ok(batch) = batches.recv() {
         if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
             // Nobody reads standard output any more; the process works on without lines.
             return;
         }
+        written.fetch_add(1, Ordering::Release);
     }
 }
 
@@ -166,6 +179,7 @@
             self.dropped.fetch_add(lines, Ordering::Relaxed);
             return;
         }
+        self.handed.fetch_add(1, Ordering::Relaxed);
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
             let mut fields = Map::new();
@@ -197,6 +211,12 @@
 
     fn flush(&self) -> std::io::Result<()> {
         self.hand_over(&mut lock(&self.pending));
+        let began = Instant::now();
+        let is_behind =
+            || self.written.load(Ordering::Acquire) < self.handed.load(Ordering::Relaxed);
+        while is_behind() && began.elapsed() < FLUSH_TIME {
+            std::thread::sleep(FLUSH_POLL);
+        }
         Ok(())
     }
 
