--- a/crates/rhubarblanding_admission/src/slots/gate.rs
+++ b/crates/rhubarblanding_admission/src/slots/gate.rs
@@ -85,17 +85,6 @@
     Refused(u64, Refusal),
 }
 
-/// Load as it is reported to other nodes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct SlotLoad {
-    /// Requests at the backend server.
-    pub running: u32,
-    /// Requests waiting for a slot.
-    pub queued: u32,
-    /// Slots in use at most.
-    pub limit: u32,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Running {
     kind: KindKey,
@@ -224,11 +213,12 @@
     }
 
     /// Load to be reported.
-    pub fn load(&self) -> SlotLoad {
-        SlotLoad {
-            running: self.running.len() as u32,
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            in_flight: self.running.len() as u32,
             queued: self.queue.len() as u32,
             limit: self.slots,
+            ..LoadReport::default()
         }
     }
 
--- a/crates/rhubarblanding_admission/tests/slots/main.rs
+++ b/crates/rhubarblanding_admission/tests/slots/main.rs
@@ -155,7 +155,7 @@
             ends.push_back((now + hold, n));
             last_second += usize::from(now >= 4_000);
         }
-        most = most.max(gate.load().running);
+        most = most.max(gate.load().in_flight);
     }
     (most, last_second)
 }
@@ -187,7 +187,7 @@
             gate.finished(at(now), id, true);
         }
     }
-    assert_that!(gate.load().running, all![ge(50), le(100)]);
+    assert_that!(gate.load().in_flight, all![ge(50), le(100)]);
     assert_that!(completed_late, eq(0));
 }
 
--- a/crates/rhubarblanding_mesh/src/process/control.rs
+++ b/crates/rhubarblanding_mesh/src/process/control.rs
@@ -68,7 +68,8 @@
     if verdict != ReportVerdict::Unchanged {
         log::info!(
             instance:% = report.life.id, born = report.life.born.0, sequence = report.sequence,
-            state:% = report.state, service:% = report.service, slots = report.slots,
+            state:% = report.state,
+            warmup_ms = report.warmup.as_millis() as u64, service:% = report.service, slots = report.slots,
             verdict:% = verdict;
             "target_reported"
         );
--- a/crates/rhubarblanding_mesh/src/process/instance.rs
+++ b/crates/rhubarblanding_mesh/src/process/instance.rs
@@ -50,17 +50,11 @@
 pub struct InstanceTracker {
     current: Option<Current>,
     departed: BTreeSet<InstanceLife>,
-    heard_at: MonoTime,
 }
 
 impl InstanceTracker {
     /// Takes in a report.
-    pub fn report(
-        &mut self,
-        now: MonoTime,
-        service: &ServiceName,
-        report: &InstanceReport,
-    ) -> ReportVerdict {
+    pub fn report(&mut self, service: &ServiceName, report: &InstanceReport) -> ReportVerdict {
         if report.service != *service {
             return ReportVerdict::OtherService;
         }
@@ -90,7 +84,6 @@
             slots: report.slots,
             draining: is_draining || was_draining,
         });
-        self.heard_at = now;
         verdict
     }
 
@@ -145,9 +138,4 @@
     pub fn slots(&self) -> u32 {
         self.current.as_ref().map_or(0, |known| known.slots)
     }
-
-    /// Time of the last report that was taken.
-    pub fn heard_at(&self) -> MonoTime {
-        self.heard_at
-    }
 }
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -193,14 +193,7 @@
 
     /// Load that is told to other nodes.
     pub fn load(&self) -> LoadReport {
-        let state = lock(&self.state);
-        let load = state.gate.load();
-        LoadReport {
-            in_flight: load.running,
-            queued: load.queued,
-            limit: load.limit,
-            ..LoadReport::default()
-        }
+        lock(&self.state).gate.load()
     }
 
     /// State that is announced to other nodes.
@@ -220,7 +213,7 @@
         let now = node.clock.now();
         let service = node.settings().service.clone();
         let mut state = lock(&self.state);
-        let verdict = state.tracker.report(now, &service, report);
+        let verdict = state.tracker.report(&service, report);
         match verdict {
             ReportVerdict::NewLife => {
                 state.unreachable_until = MonoTime::ZERO;
--- a/crates/rhubarblanding_mesh/src/request/forward.rs
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -1,18 +1,18 @@
 //! The first hop: from the entry node to the node beside a target.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use http::header::HeaderValue;
 use http::{Request, Response, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use rhubarblanding_core::prelude::*;
 
 use super::hop::{
     ANSWER_HEADER, HopOutcome, HopReply, HopRequest, HopResult, HopStatus, REQUEST_HEADER,
 };
-use super::serve::{HOLD_MAX_BYTES, join, serve_local};
+use super::serve::serve_local;
+use super::small_body::{self, SmallBody};
 use crate::connection::{Payload, PeerError, TailGuard};
 use crate::process::Shared;
 
@@ -79,26 +79,13 @@
 }
 
 /// Reads an answer whole if it is small, so that the client gets all of it or a failure.
-async fn collect(parts: http::response::Parts, mut body: Incoming) -> HopOutcome {
-    let mut chunks = VecDeque::new();
-    let mut len = 0;
-    while len <= HOLD_MAX_BYTES {
-        match body.frame().await {
-            None => {
-                let whole = Payload::whole(join(chunks));
-                return HopOutcome::Answered(Response::from_parts(parts, whole));
-            }
-            Some(Ok(frame)) => {
-                if let Ok(data) = frame.into_data() {
-                    len += data.len();
-                    chunks.push_back(data);
-                }
-            }
-            Some(Err(_)) => return HopOutcome::Lost(ErrorKind::ConnectionLost),
-        }
-    }
-    let stream = Payload::stream(chunks, body, Box::new(NoGuard));
-    HopOutcome::Answered(Response::from_parts(parts, stream))
+async fn collect(parts: http::response::Parts, body: Incoming) -> HopOutcome {
+    let payload = match small_body::read(body).await {
+        Ok(SmallBody::Whole(bytes)) => Payload::whole(bytes),
+        Ok(SmallBody::Long(first, rest)) => Payload::stream(first, rest, Box::new(NoGuard)),
+        Err(_) => return HopOutcome::Lost(ErrorKind::ConnectionLost),
+    };
+    HopOutcome::Answered(Response::from_parts(parts, payload))
 }
 
 /// Guard of a body whose end nobody waits for.
--- a/crates/rhubarblanding_mesh/src/request/mod.rs
+++ b/crates/rhubarblanding_mesh/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod headers;
 mod hop;
 mod serve;
+mod small_body;
 
 pub use answer::{refusal, refusal_with_note};
 pub use entry::handle_client;
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -1,11 +1,10 @@
 //! The second hop: from the node beside a target to the target.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -18,12 +17,11 @@
     ANSWER_HEADER, GOSSIP_PATH, HopHeader, HopOutcome, HopReply, HopRequest, HopResult, HopStatus,
     REQUEST_HEADER,
 };
+use super::small_body::{self, SmallBody};
 use crate::connection::{BackendConn, ExchangeError, Payload, TailGuard};
+use crate::dialect::InstanceId;
 use crate::process::{Lineage, Shared, SlotPermit};
 
-/// Size up to which an answer is held until it is complete, in bytes. A broken one then becomes a
-/// clean failure instead of a cut answer.
-pub(super) const HOLD_MAX_BYTES: usize = 256 * 1024;
 /// Greatest size of a message of the membership, in bytes.
 const GOSSIP_MAX_BYTES: usize = 4 << 20;
 /// Greatest size of a request between nodes, in bytes.
@@ -259,60 +257,62 @@
     id: Option<&HeaderValue>,
 ) -> HopOutcome {
     let names = node.dialect.headers();
-    let (mut parts, mut body) = resp.into_parts();
+    let (mut parts, body) = resp.into_parts();
     if parts.headers.get(&names.request_id) != id {
         node.backend.distrust();
         node.log_target_failure(id, "answer_of_another_request");
         return HopOutcome::Lost(ErrorKind::ConnectionLost);
     }
-    let encoded = parts.headers.contains_key(header::CONTENT_ENCODING);
-    let mut chunks = VecDeque::new();
-    let mut len = 0;
-    while len <= HOLD_MAX_BYTES {
-        match body.frame().await {
-            None => {
-                permit.answered(parts.status);
-                node.backend.put(conn);
-                if encoded {
-                    node.backend.distrust();
-                    node.log_target_failure(id, "encoded_answer");
-                    return HopOutcome::Lost(ErrorKind::ConnectionLost);
-                }
-                if is_not_run(node, parts.status, &parts.headers) {
-                    if parts.status == StatusCode::MISDIRECTED_REQUEST {
-                        node.local.note_misdirected(node, permit.instance());
-                    }
-                    return HopOutcome::Shed(Refusal::new(ErrorKind::BackendShed));
-                }
-                strip_connection(&mut parts.headers);
-                parts.headers.remove(header::CONTENT_LENGTH);
-                let whole = Payload::whole(join(chunks));
-                return HopOutcome::Answered(Response::from_parts(parts, whole));
-            }
-            Some(Ok(frame)) => {
-                if let Ok(data) = frame.into_data() {
-                    len += data.len();
-                    chunks.push_back(data);
-                }
-            }
-            Some(Err(e)) => {
-                if e.is_parse() {
-                    node.backend.distrust();
-                }
-                node.log_target_failure(id, "answer_cut");
-                return HopOutcome::Lost(ErrorKind::ConnectionLost);
+    match small_body::read(body).await {
+        Ok(SmallBody::Whole(bytes)) => {
+            permit.answered(parts.status);
+            node.backend.put(conn);
+            judge(node, parts, bytes, permit.instance(), id)
+        }
+        Ok(SmallBody::Long(first, rest)) => {
+            permit.answered(parts.status);
+            strip_connection(&mut parts.headers);
+            let guard = TargetTail {
+                node: Arc::clone(node),
+                conn: Some(conn),
+                _permit: permit.take(),
+            };
+            let stream = Payload::stream(first, rest, Box::new(guard));
+            HopOutcome::Answered(Response::from_parts(parts, stream))
+        }
+        Err(e) => {
+            if e.is_parse() {
+                node.backend.distrust();
             }
+            node.log_target_failure(id, "answer_cut");
+            HopOutcome::Lost(ErrorKind::ConnectionLost)
         }
     }
-    permit.answered(parts.status);
+}
+
+/// Decides what a whole answer of the target means.
+fn judge(
+    node: &Arc<Shared>,
+    mut parts: http::response::Parts,
+    body: Bytes,
+    instance: &InstanceId,
+    id: Option<&HeaderValue>,
+) -> HopOutcome {
+    if parts.headers.contains_key(header::CONTENT_ENCODING) {
+        // Nobody asked for an encoding, so this is not the target's body.
+        node.backend.distrust();
+        node.log_target_failure(id, "encoded_answer");
+        return HopOutcome::Lost(ErrorKind::ConnectionLost);
+    }
+    if is_not_run(node, parts.status, &parts.headers) {
+        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+            node.local.note_misdirected(node, instance);
+        }
+        return HopOutcome::Shed(Refusal::new(ErrorKind::BackendShed));
+    }
     strip_connection(&mut parts.headers);
-    let guard = TargetTail {
-        node: Arc::clone(node),
-        conn: Some(conn),
-        _permit: permit.take(),
-    };
-    let stream = Payload::stream(chunks, body, Box::new(guard));
-    HopOutcome::Answered(Response::from_parts(parts, stream))
+    parts.headers.remove(header::CONTENT_LENGTH);
+    HopOutcome::Answered(Response::from_parts(parts, Payload::whole(body)))
 }
 
 /// Whether the target says that it did not run the request.
@@ -321,17 +321,6 @@
     status == StatusCode::MISDIRECTED_REQUEST || (says_so && !status.is_success())
 }
 
-pub(super) fn join(mut chunks: VecDeque<Bytes>) -> Bytes {
-    if chunks.len() <= 1 {
-        return chunks.pop_front().unwrap_or_default();
-    }
-    let mut buf = BytesMut::with_capacity(chunks.iter().map(Bytes::len).sum());
-    for chunk in chunks {
-        buf.extend_from_slice(&chunk);
-    }
-    buf.freeze()
-}
-
 /// Keeps the slot and the connection until a passed-on answer has ended.
 struct TargetTail {
     node: Arc<Shared>,
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/request/small_body.rs
@@ -0,0 +1,46 @@
+//! Reading of a body that is held whole if it is small.
+
+use std::collections::VecDeque;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// Size up to which an answer is held until it is complete, in bytes. A broken one then becomes a
+/// clean failure instead of a cut answer.
+const HOLD_MAX_BYTES: usize = 256 * 1024;
+
+/// What was read of a body.
+pub(super) enum SmallBody {
+    /// All of it.
+    Whole(Bytes),
+    /// Its beginning, and the rest that is still to come.
+    Long(VecDeque<Bytes>, Incoming),
+}
+
+/// Reads a body until its end, or until it is too large to be held.
+pub(super) async fn read(mut body: Incoming) -> Result<SmallBody, hyper::Error> {
+    let mut chunks = VecDeque::new();
+    let mut len = 0;
+    while len <= HOLD_MAX_BYTES {
+        let Some(frame) = body.frame().await else {
+            return Ok(SmallBody::Whole(join(chunks)));
+        };
+        if let Ok(data) = frame?.into_data() {
+            len += data.len();
+            chunks.push_back(data);
+        }
+    }
+    Ok(SmallBody::Long(chunks, body))
+}
+
+fn join(mut chunks: VecDeque<Bytes>) -> Bytes {
+    if chunks.len() <= 1 {
+        return chunks.pop_front().unwrap_or_default();
+    }
+    let mut buf = BytesMut::with_capacity(chunks.iter().map(Bytes::len).sum());
+    for chunk in chunks {
+        buf.extend_from_slice(&chunk);
+    }
+    buf.freeze()
+}
--- a/crates/rhubarblanding_mesh/src/settings/mod.rs
+++ b/crates/rhubarblanding_mesh/src/settings/mod.rs
@@ -29,8 +29,6 @@
     pub ratio: f64,
     /// Retries allowed besides in each window.
     pub slack: f64,
-    /// Length of the window.
-    pub window: Duration,
 }
 
 /// Settings of one process.
@@ -50,8 +48,6 @@
     pub seeds: Vec<HostId>,
     /// Key-value service.
     pub store: StoreSettings,
-    /// Time between two reports of a target.
-    pub heartbeat: Duration,
     /// Time from the signal to stop until the process is ended by force.
     pub grace_period: Duration,
     /// Bound of retries.
--- a/crates/rhubarblanding_mesh/tests/instance.rs
+++ b/crates/rhubarblanding_mesh/tests/instance.rs
@@ -11,8 +11,6 @@
 };
 use rhubarblanding_mesh::process::{InstanceTracker, LeaveVerdict, ReportVerdict};
 
-const NOW: MonoTime = MonoTime::ZERO;
-
 fn service() -> ServiceName {
     ServiceName::try_from("turnos").expect("a name")
 }
@@ -56,7 +54,7 @@
     let mut tracker = InstanceTracker::default();
     let verdict = reports
         .iter()
-        .map(|report| tracker.report(NOW, &service(), report))
+        .map(|report| tracker.report(&service(), report))
         .last();
     assert_that!(verdict, some(eq(expected)));
     assert_that!(tracker.serving().cloned(), eq(&serving));
@@ -98,16 +96,16 @@
 fn report_of_another_service_names_no_target() {
     let mut tracker = InstanceTracker::default();
     let other = ServiceName::try_from("egresos").expect("a name");
-    let verdict = tracker.report(NOW, &other, &ready("a", 5, 1));
+    let verdict = tracker.report(&other, &ready("a", 5, 1));
     assert_that!(verdict, eq(ReportVerdict::OtherService));
     assert_that!(tracker.serving(), none());
 }
 
 fn late_report_after_leaving(leave: InstanceLeave, expected: LeaveVerdict) {
     let mut tracker = InstanceTracker::default();
-    tracker.report(NOW, &service(), &ready("a", 5, 1));
+    tracker.report(&service(), &ready("a", 5, 1));
     assert_that!(tracker.leave(&leave), eq(&expected));
-    tracker.report(NOW, &service(), &ready("a", 5, 2));
+    tracker.report(&service(), &ready("a", 5, 2));
     assert_that!(
         tracker.serving().is_none(),
         eq(expected != LeaveVerdict::Unknown)
@@ -126,9 +124,9 @@
 fn life_that_left_before_the_start_is_not_revived() {
     let mut tracker = InstanceTracker::default();
     tracker.depart(life("a", 5));
-    let verdict = tracker.report(NOW, &service(), &ready("a", 5, 9));
+    let verdict = tracker.report(&service(), &ready("a", 5, 9));
     assert_that!(verdict, eq(ReportVerdict::Departed));
     assert_that!(tracker.serving(), none());
-    let verdict = tracker.report(NOW, &service(), &ready("a", 6, 1));
+    let verdict = tracker.report(&service(), &ready("a", 6, 1));
     assert_that!(verdict, eq(ReportVerdict::NewLife));
 }
--- a/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
@@ -178,12 +178,10 @@
             addr: store,
             ..StoreSettings::default()
         },
-        heartbeat: Duration::from_millis(1_500),
         grace_period: Duration::from_secs(6),
         retry_bound: RetryBound {
             ratio: 0.2,
             slack: 48.0,
-            window: Duration::from_secs(10),
         },
         source: "none".into(),
     };
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 
 use rhubarblanding::cli::Cli;
 
+mod daemon;
 mod mesh_command;
 mod node_command;
 
--- a/src/mesh_command.rs
+++ b/src/mesh_command.rs
@@ -10,10 +10,8 @@
 use rhubarblanding_node::process::json_lines;
 use rhubarblanding_platform::Platform;
 
-/// Exit code for settings that do not hold allowed values.
-const EXIT_BAD_SETTINGS: u8 = 2;
-/// Exit code for a node that could not be started.
-const EXIT_NOT_STARTED: u8 = 1;
+use crate::daemon::{EXIT_BAD_SETTINGS, EXIT_NOT_STARTED, SetupError};
+
 /// Port for metrics unless another is given.
 const METRICS_PORT: &str = "9464";
 
@@ -43,25 +41,6 @@
         )
 }
 
-#[derive(Clone, Copy, Debug)]
-enum SetupError {
-    Logger,
-    Runtime,
-    Node,
-}
-
-impl std::fmt::Display for SetupError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            Self::Logger => "the log cannot be opened",
-            Self::Runtime => "the runtime cannot be started",
-            Self::Node => "the node cannot be started",
-        })
-    }
-}
-
-impl std::error::Error for SetupError {}
-
 /// Runs the node and returns the exit code of the process.
 pub fn run(matches: &ArgMatches) -> ExitCode {
     let metrics_port = matches
--- a/src/node_command.rs
+++ b/src/node_command.rs
@@ -7,10 +7,7 @@
 use rhubarblanding_node::process::logs;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Exit code for settings that do not hold allowed values.
-const EXIT_BAD_SETTINGS: u8 = 2;
-/// Exit code for a node that could not be started.
-const EXIT_NOT_STARTED: u8 = 1;
+use crate::daemon::{EXIT_BAD_SETTINGS, EXIT_NOT_STARTED, SetupError};
 
 /// Definition of the subcommand.
 pub fn command() -> clap::Command {
@@ -35,26 +32,6 @@
     }
 }
 
-/// Why the process around a node could not be set up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SetupError {
-    Logger,
-    Runtime,
-    Node,
-}
-
-impl std::fmt::Display for SetupError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            Self::Logger => "the log cannot be opened",
-            Self::Runtime => "the runtime cannot be started",
-            Self::Node => "the node cannot be started",
-        })
-    }
-}
-
-impl std::error::Error for SetupError {}
-
 fn start(settings: Settings) -> Result<(), error_stack::Report<SetupError>> {
     use error_stack::ResultExt;
 
