Record that a target left until it is stored, and take leaving for the name it names

(a) The store lost the answer or was away, and the record was given up after one attempt. (b) The message of leaving names no start and came before the new process had heard of the life, so nothing was noted. Ruled out: order of reports within one process (tests), reading at the start (departed was read). Change: the record is tried until stored, the process does not end before within its grace period; leaving ends all lives of that name that began before it. Tests: departure_is_recorded_after_an_outage, departure_is_recorded_after_lost_answers, late_report_after_an_unknown_life_left. Open: a node killed right after the acknowledgement while the store is away keeps no record.

--- a/crates/rhubarblanding_mesh/src/process/control.rs
+++ b/crates/rhubarblanding_mesh/src/process/control.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use tokio::sync::watch;
 
-use super::instance::{LeaveVerdict, ReportVerdict};
+use super::instance::ReportVerdict;
 use super::registration;
 use super::shared::Shared;
 use crate::connection::Payload;
@@ -18,8 +18,9 @@
 
 /// Greatest size of a call of the target, in bytes.
 const CALL_MAX_BYTES: usize = 64 * 1024;
-/// Time for recording that a life left. The target waits a second for the acknowledgement.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for recording that a life left before that is acknowledged. The target waits a second for
+/// the acknowledgement.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(850);
 
 /// Answers a call of the local target.
 pub async fn handle_control(
@@ -63,7 +64,7 @@
     reply(node.dialect.acknowledge())
 }
 
-async fn on_report(node: &Shared, report: &InstanceReport) {
+async fn on_report(node: &Arc<Shared>, report: &InstanceReport) {
     let verdict = node.local.report(node, report);
     if verdict != ReportVerdict::Unchanged {
         log::info!(
@@ -80,24 +81,24 @@
     }
 }
 
-async fn on_leave(node: &Shared, leave: &InstanceLeave) {
-    let verdict = node.local.leave(node, leave);
-    log::info!(instance:% = leave.id, known = verdict != LeaveVerdict::Unknown; "target_left");
+async fn on_leave(node: &Arc<Shared>, leave: &InstanceLeave) {
+    let life = node.local.leave(node, leave);
+    log::info!(instance:% = life.id, born = life.born.0, told = leave.born.is_some(); "target_left");
     node.announce();
-    if let LeaveVerdict::Left(life) = verdict {
-        record(node, &life).await;
-    }
+    record(node, &life).await;
 }
 
-/// Keeps it beyond the end of this process that a life left.
-async fn record(node: &Shared, life: &InstanceLife) {
-    let recording = registration::record_departed(node, life);
-    let reason = match tokio::time::timeout(RECORD_TIMEOUT, recording).await {
-        Ok(Ok(())) => return,
-        Ok(Err(report)) => report.current_context().to_string(),
-        Err(_) => "no answer in time".to_owned(),
-    };
-    log::warn!(instance:% = life.id, born = life.born.0, reason = reason; "departure_not_recorded");
+/// Keeps it beyond the end of this process that a life left. If the key-value service does not
+/// take it in time, it is tried on while the target is acknowledged.
+async fn record(node: &Arc<Shared>, life: &InstanceLife) {
+    let recording = registration::record_until_stored(Arc::clone(node), life.clone());
+    let mut recording = tokio::spawn(recording);
+    if tokio::time::timeout(RECORD_TIMEOUT, &mut recording)
+        .await
+        .is_err()
+    {
+        log::warn!(instance:% = life.id, born = life.born.0; "departure_not_recorded_yet");
+    }
 }
 
 fn reply(reply: ControlReply) -> Response<Payload> {
--- a/crates/rhubarblanding_mesh/src/process/instance.rs
+++ b/crates/rhubarblanding_mesh/src/process/instance.rs
@@ -1,11 +1,9 @@
 //! Which life of the local target takes requests, decided from what it reports.
 
-use std::collections::BTreeSet;
-
 use rhubarblanding_core::prelude::*;
 use strum::Display;
 
-use crate::dialect::{InstanceLeave, InstanceLife, InstanceReport, ReportedState};
+use crate::dialect::{InstanceId, InstanceLeave, InstanceLife, InstanceReport, ReportedState};
 
 /// What a report changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -25,15 +23,6 @@
     OtherService,
 }
 
-/// What a message of leaving changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LeaveVerdict {
-    /// This life has left.
-    Left(InstanceLife),
-    /// The message is of a life that is not known.
-    Unknown,
-}
-
 #[derive(Clone, Debug)]
 struct Current {
     life: InstanceLife,
@@ -49,7 +38,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTracker {
     current: Option<Current>,
-    departed: BTreeSet<InstanceLife>,
+    /// Newest start of the lives of a name that have left.
+    departed: HashMap<InstanceId, UnixMillis>,
 }
 
 impl InstanceTracker {
@@ -58,7 +48,7 @@
         if report.service != *service {
             return ReportVerdict::OtherService;
         }
-        if self.departed.contains(&report.life) {
+        if self.has_departed(&report.life) {
             return ReportVerdict::Departed;
         }
         let is_draining = report.state == ReportedState::Draining;
@@ -87,35 +77,36 @@
         verdict
     }
 
-    /// Takes in a message of leaving.
-    pub fn leave(&mut self, leave: &InstanceLeave) -> LeaveVerdict {
-        let known = self
-            .current
-            .as_ref()
-            .filter(|known| known.life.id == leave.id);
-        let known = known.filter(|known| leave.born.is_none_or(|born| born == known.life.born));
-        let life = match (known, leave.born) {
-            (Some(known), _) => known.life.clone(),
-            (None, Some(born)) => InstanceLife {
-                born,
-                id: leave.id.clone(),
-            },
-            (None, None) => return LeaveVerdict::Unknown,
+    /// Takes in a message of leaving and returns the life that left.
+    ///
+    /// A message without a start may come to a process that has not heard of the life yet. It is
+    /// of a life that began before `now`; later reports of that life change nothing.
+    pub fn leave(&mut self, now: UnixMillis, leave: &InstanceLeave) -> InstanceLife {
+        let known = self.current.as_ref().map(|known| &known.life);
+        let known = known.filter(|life| life.id == leave.id);
+        let born = leave.born.or(known.map(|life| life.born));
+        let life = InstanceLife {
+            born: born.unwrap_or(now),
+            id: leave.id.clone(),
         };
         self.depart(life.clone());
-        LeaveVerdict::Left(life)
+        life
     }
 
-    /// Notes a life that left, perhaps before this process started.
+    /// Notes a life that left, perhaps before this process started. Earlier lives of the same name
+    /// have left as well.
     pub fn depart(&mut self, life: InstanceLife) {
-        if self
-            .current
-            .as_ref()
-            .is_some_and(|known| known.life == life)
-        {
+        let newest = self.departed.entry(life.id).or_insert(life.born);
+        *newest = life.born.max(*newest);
+        let is_gone = |known: &Current| self.has_departed(&known.life);
+        if self.current.as_ref().is_some_and(is_gone) {
             self.current = None;
         }
-        self.departed.insert(life);
+    }
+
+    fn has_departed(&self, life: &InstanceLife) -> bool {
+        let newest = self.departed.get(&life.id);
+        newest.is_some_and(|born| life.born <= *born)
     }
 
     /// Forgets a life that does not answer at its address any more.
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -11,7 +11,7 @@
 use rhubarblanding_node::process::parking::{Mutex, lock};
 use tokio::sync::{Notify, oneshot};
 
-use super::instance::{InstanceTracker, LeaveVerdict, ReportVerdict};
+use super::instance::{InstanceTracker, ReportVerdict};
 use super::lineage::{Lineage, Running};
 use super::shared::Shared;
 use crate::dialect::{InstanceId, InstanceLeave, InstanceLife, InstanceReport};
@@ -230,15 +230,15 @@
     }
 
     /// Takes in a message that the target leaves.
-    pub fn leave(&self, node: &Shared, leave: &InstanceLeave) -> LeaveVerdict {
+    pub fn leave(&self, node: &Shared, leave: &InstanceLeave) -> InstanceLife {
         let now = node.clock.now();
         let mut state = lock(&self.state);
-        let verdict = state.tracker.leave(leave);
+        let life = state.tracker.leave(node.clock.wall(), leave);
         if state.tracker.serving().is_none() {
             state.refuse_waiting(now);
         }
         state.dispatch(now);
-        verdict
+        life
     }
 
     /// Notes a life that left before this process started.
--- a/crates/rhubarblanding_mesh/src/process/mesh.rs
+++ b/crates/rhubarblanding_mesh/src/process/mesh.rs
@@ -196,7 +196,8 @@
     loop {
         // What has arrived at the last moment is to be read before it is looked for.
         tokio::time::sleep(STOP_POLL).await;
-        if node.open_requests() == 0 || began.elapsed() >= end {
+        let is_idle = node.open_requests() == 0 && !node.has_pending_records();
+        if is_idle || began.elapsed() >= end {
             break;
         }
     }
--- a/crates/rhubarblanding_mesh/src/process/mod.rs
+++ b/crates/rhubarblanding_mesh/src/process/mod.rs
@@ -14,7 +14,7 @@
 mod targets;
 
 pub use events::{Ending, RetryReason};
-pub use instance::{InstanceTracker, LeaveVerdict, ReportVerdict};
+pub use instance::{InstanceTracker, ReportVerdict};
 pub use lineage::{Lineage, Running};
 pub use local::{LocalTarget, SlotPermit};
 pub use mesh::{Mesh, StartError};
--- a/crates/rhubarblanding_mesh/src/process/registration.rs
+++ b/crates/rhubarblanding_mesh/src/process/registration.rs
@@ -29,6 +29,10 @@
 /// Pause after a failed call. Entries that lapsed while the service was away are to be back
 /// within two seconds.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
+/// Time for one attempt to record that a life left: a slow service answers within it.
+const RECORD_ATTEMPT: Duration = Duration::from_millis(400);
+/// Pause between two attempts.
+const RECORD_PAUSE: Duration = Duration::from_millis(40);
 /// Time for which it is kept that a life of a target left. Its late reports arrive seconds later.
 const DEPARTED_TTL: Duration = Duration::from_secs(120);
 
@@ -128,12 +132,24 @@
     Ok(count)
 }
 
-/// Records that a life of the local target left.
-///
-/// # Errors
-///
-/// Fails as the key-value service does.
-pub async fn record_departed(node: &Shared, life: &InstanceLife) -> StoreResult<()> {
+/// Records that a life of the local target left, however often that takes. The process does not
+/// end before, if its grace period allows.
+pub async fn record_until_stored(node: Arc<Shared>, life: InstanceLife) {
+    let _pending = node.pending_record();
+    loop {
+        let attempt = tokio::time::timeout(RECORD_ATTEMPT, record_departed(&node, &life));
+        let reason = match attempt.await {
+            Ok(Ok(())) => break,
+            Ok(Err(report)) => report.current_context().to_string(),
+            Err(_) => "no answer in time".to_owned(),
+        };
+        log::info!(instance:% = life.id, reason = reason; "departure_not_recorded");
+        tokio::time::sleep(RECORD_PAUSE).await;
+    }
+    log::info!(instance:% = life.id, born = life.born.0; "departure_recorded");
+}
+
+async fn record_departed(node: &Shared, life: &InstanceLife) -> StoreResult<()> {
     let name: String = life.id.0.bytes().map(|b| format!("{b:02x}")).collect();
     let text = format!("{}{}/{name}", departed_prefix(node), life.born.0);
     let Ok(key) = Key::try_from(text.as_str()) else {
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -76,6 +76,7 @@
     stopping: AtomicBool,
     refusing_peers: AtomicBool,
     refusing_clients: AtomicBool,
+    pending_records: AtomicUsize,
     open_requests: AtomicUsize,
     /// Time at which a request began or ended last, in microseconds.
     request_at: AtomicU64,
@@ -123,6 +124,7 @@
             stopping: AtomicBool::new(false),
             refusing_peers: AtomicBool::new(false),
             refusing_clients: AtomicBool::new(false),
+            pending_records: AtomicUsize::new(0),
             open_requests: AtomicUsize::new(0),
             request_at: AtomicU64::new(0),
             me,
@@ -210,6 +212,17 @@
         OpenRequest(Arc::clone(self))
     }
 
+    /// Counts a record that is still to be stored until the guard is dropped.
+    pub fn pending_record(self: &Arc<Self>) -> PendingRecord {
+        self.pending_records.fetch_add(1, Ordering::Relaxed);
+        PendingRecord(Arc::clone(self))
+    }
+
+    /// Whether a record is still to be stored.
+    pub fn has_pending_records(&self) -> bool {
+        self.pending_records.load(Ordering::Relaxed) > 0
+    }
+
     fn note_request(&self) {
         let now = self.clock.now().as_micros();
         self.request_at.store(now, Ordering::Relaxed);
@@ -305,6 +318,15 @@
     }
 }
 
+/// Counts a record as still to be stored until it is dropped.
+pub struct PendingRecord(Arc<Shared>);
+
+impl Drop for PendingRecord {
+    fn drop(&mut self) {
+        self.0.pending_records.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts a request as open until it is dropped.
 pub struct OpenRequest(Arc<Shared>);
 
--- a/crates/rhubarblanding_mesh/tests/instance.rs
+++ b/crates/rhubarblanding_mesh/tests/instance.rs
@@ -9,7 +9,7 @@
 use rhubarblanding_mesh::dialect::{
     InstanceId, InstanceLeave, InstanceLife, InstanceReport, ReportedState,
 };
-use rhubarblanding_mesh::process::{InstanceTracker, LeaveVerdict, ReportVerdict};
+use rhubarblanding_mesh::process::{InstanceTracker, ReportVerdict};
 
 fn service() -> ServiceName {
     ServiceName::try_from("turnos").expect("a name")
@@ -101,22 +101,37 @@
     assert_that!(tracker.serving(), none());
 }
 
-fn late_report_after_leaving(leave: InstanceLeave, expected: LeaveVerdict) {
+/// Time of the messages of leaving, after the start of all lives of the tests.
+const LEFT_AT: UnixMillis = UnixMillis(100);
+
+/// After `leave`, a late report of the life of `a` must not revive it if it has left.
+fn late_report_after_leaving(leave: InstanceLeave, left: InstanceLife, serving: bool) {
     let mut tracker = InstanceTracker::default();
     tracker.report(&service(), &ready("a", 5, 1));
-    assert_that!(tracker.leave(&leave), eq(&expected));
+    assert_that!(tracker.leave(LEFT_AT, &leave), eq(&left));
     tracker.report(&service(), &ready("a", 5, 2));
-    assert_that!(
-        tracker.serving().is_none(),
-        eq(expected != LeaveVerdict::Unknown)
-    );
+    assert_that!(tracker.serving().is_some(), eq(serving));
 }
 
 rhubarblanding_core::cases! {
     late_report_after_leaving;
-    leaves_with_its_start: (leaving("a", Some(5)), LeaveVerdict::Left(life("a", 5)));
-    leaves_without_its_start: (leaving("a", None), LeaveVerdict::Left(life("a", 5)));
-    another_leaves: (leaving("b", None), LeaveVerdict::Unknown);
+    leaves_with_its_start: (leaving("a", Some(5)), life("a", 5), false);
+    leaves_without_its_start: (leaving("a", None), life("a", 5), false);
+    an_earlier_life_leaves: (leaving("a", Some(4)), life("a", 4), true);
+    another_leaves: (leaving("b", None), life("b", 100), true);
+}
+
+/// The message of leaving may come to a process that was started anew and has heard nothing yet;
+/// a report that was delayed comes after it.
+#[test]
+fn late_report_after_an_unknown_life_left() {
+    let mut tracker = InstanceTracker::default();
+    tracker.leave(LEFT_AT, &leaving("a", None));
+    let verdict = tracker.report(&service(), &ready("a", 5, 21));
+    assert_that!(verdict, eq(ReportVerdict::Departed));
+    assert_that!(tracker.serving(), none());
+    let verdict = tracker.report(&service(), &ready("a", 101, 1));
+    assert_that!(verdict, eq(ReportVerdict::NewLife));
 }
 
 /// A node that was started anew knows from the key-value service which lives left.
--- a/crates/rhubarblanding_mesh/tests/mesh/main.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/main.rs
@@ -10,6 +10,8 @@
 
 use fleet::Fleet;
 use googletest::prelude::*;
+use rhubarblanding_standins::store::Faults;
+use rhubarblanding_store::{Key, StoreClient, StoreSettings};
 use target::{Behaviour, header};
 
 const ROUTES: &[(&str, &str, bool)] = &[("/safe/", "turnos", true), ("/once/", "turnos", false)];
@@ -182,12 +184,10 @@
 #[tokio::test]
 async fn requests_are_served_while_the_store_is_away() {
     let fleet = fleet().await;
-    fleet
-        .store
-        .set_faults(rhubarblanding_standins::store::Faults {
-            outage: true,
-            ..Default::default()
-        });
+    fleet.store.set_faults(Faults {
+        outage: true,
+        ..Default::default()
+    });
     let began = Instant::now();
     for i in 0..5 {
         let (status, _, _) = fleet
@@ -257,3 +257,38 @@
         .expect("an answer");
     assert_that!(status.as_u16(), eq(200));
 }
+
+/// A node that is started anew must know which lives left, whatever became of the first attempt to
+/// record it.
+async fn departure_is_recorded_after(faults: Faults, mended: Faults) {
+    let fleet = fleet().await;
+    fleet.store.set_faults(faults);
+    let acknowledged = fleet.control(1, "leave i1".to_owned()).await;
+    assert_that!(acknowledged.map(|s| s.as_u16()), some(eq(200)));
+    fleet.store.set_faults(mended);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let store = StoreClient::new(StoreSettings {
+        addr: fleet.store.addr(),
+        ..StoreSettings::default()
+    });
+    let recorded = store.list(&Key::from_static("mesh/departed/")).await;
+    assert_that!(recorded.expect("a list").len(), eq(1));
+}
+
+#[tokio::test]
+async fn departure_is_recorded_after_an_outage() {
+    let outage = Faults {
+        outage: true,
+        ..Faults::default()
+    };
+    departure_is_recorded_after(outage, Faults::default()).await;
+}
+
+#[tokio::test]
+async fn departure_is_recorded_after_lost_answers() {
+    let lost = Faults {
+        lose_answer_after_apply: 2,
+        ..Faults::default()
+    };
+    departure_is_recorded_after(lost, lost).await;
+}
