--- a/crates/rhubarblanding_mesh/src/process/registration.rs
+++ b/crates/rhubarblanding_mesh/src/process/registration.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_membership::prelude::Input;
+use rhubarblanding_store::backoff::{Backoff, BackoffSettings};
 use rhubarblanding_store::client::StoreResult;
 use rhubarblanding_store::{CasOutcome, Key, LeaseId, Revision, StoreError};
 use tokio::sync::watch;
@@ -31,8 +34,12 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 /// Time for one attempt to record that a life left: a slow service answers within it.
 const RECORD_ATTEMPT: Duration = Duration::from_millis(400);
-/// Pause between two attempts.
-const RECORD_PAUSE: Duration = Duration::from_millis(40);
+/// Pauses between two attempts: some fit into the time of an acknowledgement, and an outage of
+/// seconds costs few calls.
+const RECORD_BACKOFF: BackoffSettings = BackoffSettings {
+    first: Duration::from_millis(40),
+    max: Duration::from_millis(600),
+};
 /// Time for which it is kept that a life of a target left. Its late reports arrive seconds later.
 const DEPARTED_TTL: Duration = Duration::from_secs(120);
 
@@ -136,6 +143,8 @@
 /// end before, if its grace period allows.
 pub async fn record_until_stored(node: Arc<Shared>, life: InstanceLife) {
     let _pending = node.pending_record();
+    let mut rng = SmallRng::from_os_rng();
+    let mut backoff = Backoff::new(RECORD_BACKOFF);
     loop {
         let attempt = tokio::time::timeout(RECORD_ATTEMPT, record_departed(&node, &life));
         let reason = match attempt.await {
@@ -144,7 +153,7 @@
             Err(_) => "no answer in time".to_owned(),
         };
         log::info!(instance:% = life.id, reason = reason; "departure_not_recorded");
-        tokio::time::sleep(RECORD_PAUSE).await;
+        tokio::time::sleep(backoff.next_delay(&mut rng)).await;
     }
     log::info!(instance:% = life.id, born = life.born.0; "departure_recorded");
 }
