--- a/crates/rhubarblanding_mesh/src/connection/backend.rs
+++ b/crates/rhubarblanding_mesh/src/connection/backend.rs
@@ -79,7 +79,6 @@
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     keep_for: Duration,
-    reused: bool,
 }
 
 impl Drop for BackendConn {
@@ -89,11 +88,6 @@
 }
 
 impl BackendConn {
-    /// Whether it served another request before.
-    pub fn is_reused(&self) -> bool {
-        self.reused
-    }
-
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -139,7 +133,6 @@
     idle: Mutex<Vec<IdleConn>>,
     /// Last time at which the target sent bytes that belong to no request, in microseconds.
     garbled_at: Arc<AtomicU64>,
-    opened: AtomicU64,
 }
 
 impl BackendPool {
@@ -149,15 +142,9 @@
             clock,
             idle: Mutex::default(),
             garbled_at: Arc::default(),
-            opened: AtomicU64::new(0),
         }
     }
 
-    /// Number of connections opened so far.
-    pub fn opened(&self) -> u64 {
-        self.opened.load(Ordering::Relaxed)
-    }
-
     /// Takes an idle connection, or opens one. With `fresh` none is reused.
     ///
     /// # Errors
@@ -175,11 +162,10 @@
     }
 
     /// Gives a connection back after a whole answer.
-    pub fn put(&self, mut conn: BackendConn) {
+    pub fn put(&self, conn: BackendConn) {
         if conn.keep_for.is_zero() || conn.sender.is_closed() || self.is_distrusted() {
             return;
         }
-        conn.reused = true;
         let until = self.clock.now() + conn.keep_for;
         lock(&self.idle).push(IdleConn { conn, until });
     }
@@ -231,7 +217,6 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| ConnectError::Refused)?;
-        self.opened.fetch_add(1, Ordering::Relaxed);
         let garbled_at = Arc::clone(&self.garbled_at);
         let clock = self.clock;
         let driver = tokio::spawn(async move {
@@ -246,7 +231,6 @@
             sender,
             driver: driver.abort_handle(),
             keep_for: IDLE_DEFAULT,
-            reused: false,
         })
     }
 }
--- a/crates/rhubarblanding_mesh/src/connection/peer.rs
+++ b/crates/rhubarblanding_mesh/src/connection/peer.rs
@@ -88,11 +88,6 @@
         })
     }
 
-    /// Closes the connection to `peer`, for a node that has gone.
-    pub fn forget(&self, peer: SocketAddr) {
-        lock(&self.links).remove(&peer);
-    }
-
     async fn sender(&self, peer: SocketAddr) -> Result<Sender, PeerError> {
         let link = Arc::clone(lock(&self.links).entry(peer).or_default());
         let mut slot = link.sender.lock().await;
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -70,7 +70,6 @@
     version: Mutex<Option<Arc<Version>>>,
     version_changed: watch::Sender<DocVersion>,
     member: Mutex<Member>,
-    member_changed: tokio::sync::Notify,
     outputs: mpsc::UnboundedSender<Output>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     stopping: AtomicBool,
@@ -118,7 +117,6 @@
             version: Mutex::default(),
             version_changed: watch::Sender::new(DocVersion::default()),
             member: Mutex::new(member),
-            member_changed: tokio::sync::Notify::new(),
             outputs,
             budgets: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -250,7 +248,6 @@
             // The receiver lives as long as the process.
             let _ = self.outputs.send(output);
         }
-        self.member_changed.notify_one();
     }
 
     /// Reads from the membership.
@@ -258,11 +255,6 @@
         read(&lock(&self.member).membership)
     }
 
-    /// Completes when the membership took in an input.
-    pub async fn member_changed(&self) {
-        self.member_changed.notified().await;
-    }
-
     /// Tells other nodes of the state of the local target.
     pub fn announce(&self) {
         let (mut state, slots) = self.local.announcement();
