Check whether a port is free without listening on it

The check for a free port listened on it for a moment; a process started by another thread at that moment inherits the socket until its program is in place, so the port was still listened on when its owner came. Ruled out: outgoing connections (the ports lie below theirs), one port given twice (a counter gives them out). Change: the check binds without listening, which stands in nobody's way.

--- a/tools/standins/src/process/ports.rs
+++ b/tools/standins/src/process/ports.rs
@@ -1,9 +1,11 @@
 //! Free ports on the loopback interface.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use error_stack::Report;
+use tokio::net::TcpSocket;
 
 use crate::error::StandinError;
 
@@ -27,7 +29,7 @@
 pub fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, Report<StandinError>> {
     let addresses: Vec<SocketAddr> = (0..PORT_COUNT)
         .map(|_| next_address())
-        .filter(|address| TcpListener::bind(address).is_ok())
+        .filter(|address| is_free(*address).unwrap_or(false))
         .take(count)
         .collect();
     if addresses.len() < count {
@@ -36,6 +38,14 @@
     Ok(addresses)
 }
 
+/// Binds without listening: a child process that another thread starts keeps the socket until its
+/// program is in place, and only a socket that listens would stand in the way of the next one.
+fn is_free(address: SocketAddr) -> io::Result<bool> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    Ok(socket.bind(address).is_ok())
+}
+
 fn next_address() -> SocketAddr {
     let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS) % PORT_COUNT;
     let tried = TRIED.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
