--- a/tests/process/truthful.rs
+++ b/tests/process/truthful.rs
@@ -7,7 +7,7 @@
 use rhubarblanding_core::importance::Idempotency;
 use rhubarblanding_standins::backend::{ControlChange, Run};
 use rhubarblanding_standins::load::{Ending, LoadSettings, Outcome, Report, Route};
-use rhubarblanding_standins::process::{ServiceSettings, Signal};
+use rhubarblanding_standins::process::{ServiceSettings, Signal, wait_until};
 use rhubarblanding_standins::relay::RelayChange;
 
 use crate::support::{Bench, block_on, load, run, service, start, two_services, untruthful};
@@ -17,6 +17,8 @@
 const LATER: Duration = Duration::from_secs(3);
 /// Time of the fault after the start of the load.
 const FAULT: Duration = Duration::from_secs(1);
+/// Time within which both targets have work, so that a lost connection hits some.
+const LOSS_LIMIT: Duration = Duration::from_millis(1_500);
 /// Name of the kind whose writes carry no key.
 const UNKEYED: &str = "unkeyed";
 /// Keyed writes, writes without a key, and reads.
@@ -165,6 +167,16 @@
         .count()
 }
 
+/// Number of requests that the host's backend server is running.
+async fn running_at(bench: &Bench, host: usize) -> u64 {
+    let counters = bench.cluster.hosts[host]
+        .backend()
+        .counters()
+        .await
+        .unwrap();
+    counters.started - counters.completed - counters.cancelled
+}
+
 /// Requests lose their connection to one target while they run, and the other target sheds.
 fn refusals_are_true_after_a_loss(kind: &str) {
     block_on(async {
@@ -177,6 +189,11 @@
         cfg.route = Route::Nodes(vec![bench.cluster.entries()[0]]);
         let running = tokio::spawn(run(cfg));
         tokio::time::sleep(FAULT).await;
+        wait_until(LOSS_LIMIT, "two runs behind the relay", async || {
+            running_at(&bench, 1).await >= 2
+        })
+        .await
+        .unwrap();
         // Shed requests stop retries for a while, so that the connection is cut at the same moment.
         bench.cluster.hosts[0].backend().change(shed).await.unwrap();
         relay.change(RelayChange {
