Let targets beside stopping nodes serve while no other target of their service does

The targets themselves were healthy. Ruled out: the store's outage at the same time (the nodes knew every target), targets that leave (announced apart, still refused). Change: a router may choose draining targets while none serves (a setting; the other node program keeps never); a stopping node takes requests of other nodes until 1.5 s before its end instead of 0.4 s after the signal.

--- a/crates/rhubarblanding_mesh/src/process/mesh.rs
+++ b/crates/rhubarblanding_mesh/src/process/mesh.rs
@@ -28,8 +28,6 @@
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two rounds that close idle connections to the target.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time after the signal to stop in which other nodes learn of it.
-const STOP_SPREAD: Duration = Duration::from_millis(400);
 /// Time after the signal to stop in which the platform takes this node's clients away: two
 /// questions, a second apart, and what is on the way.
 const STOP_CLIENTS: Duration = Duration::from_millis(2_600);
@@ -39,6 +37,9 @@
 /// Time after the signal to stop after which new requests of clients are refused, with a time to
 /// come back, so that those taken before can end.
 const STOP_TAKING: Duration = Duration::from_millis(2_900);
+/// Time before the end in which requests of other nodes are refused, so that those taken before can
+/// end. Until then they are taken: those that know of a target elsewhere send none.
+const STOP_PEERS: Duration = Duration::from_millis(1_500);
 /// Part of the grace period that is left for ending the process.
 const STOP_RESERVE: Duration = Duration::from_millis(500);
 /// Time between two looks at the open requests while stopping.
@@ -177,14 +178,15 @@
     let began = tokio::time::Instant::now();
     node.set_stopping();
     node.announce();
-    tokio::time::sleep(STOP_SPREAD).await;
-    node.refuse_peers();
     let end = node.settings().grace_period.saturating_sub(STOP_RESERVE);
     loop {
         let elapsed = began.elapsed();
         if elapsed >= STOP_TAKING {
             node.refuse_clients();
         }
+        if elapsed >= end.saturating_sub(STOP_PEERS) {
+            node.refuse_peers();
+        }
         let is_quiet = node.open_requests() == 0 && node.quiet_time() >= STOP_QUIET;
         if elapsed >= end || (is_quiet && elapsed >= STOP_CLIENTS) {
             break;
@@ -192,6 +194,7 @@
         tokio::time::sleep(STOP_POLL).await;
     }
     node.refuse_clients();
+    node.refuse_peers();
     stop.send_replace(true);
     loop {
         // What has arrived at the last moment is to be read before it is looked for.
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -12,7 +12,7 @@
 use rhubarblanding_node::process::Clock;
 use rhubarblanding_node::process::parking::{Mutex, lock};
 use rhubarblanding_request::budget::{BudgetSettings, BudgetState, RetryBudget};
-use rhubarblanding_routing::prelude::RouterSettings;
+use rhubarblanding_routing::prelude::{DrainingUse, RouterSettings};
 use rhubarblanding_store::StoreClient;
 use tokio::sync::{mpsc, watch};
 
@@ -107,7 +107,7 @@
         let (outputs, rx) = mpsc::unbounded_channel();
         let zone = settings.zone.clone();
         let shared = Self {
-            targets: Targets::new(clock, zone, RouterSettings::default(), seed),
+            targets: Targets::new(clock, zone, router_settings(), seed),
             local: LocalTarget::new(SlotSettings::default()),
             backend: BackendPool::new(clock),
             peers: PeerPool::new(clock),
@@ -183,7 +183,7 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
-    /// Whether requests of other nodes are refused, as they know by now that this one stops.
+    /// Whether requests of other nodes are refused, as what runs needs the time that is left.
     pub fn is_refusing_peers(&self) -> bool {
         self.refusing_peers.load(Ordering::Relaxed)
     }
@@ -329,6 +329,14 @@
     }
 }
 
+/// A draining target is one whose node stops; it takes requests for as long as its node runs.
+fn router_settings() -> RouterSettings {
+    RouterSettings {
+        draining: DrainingUse::LastResort,
+        ..RouterSettings::default()
+    }
+}
+
 fn membership_settings(settings: &MeshSettings) -> MembershipSettings {
     MembershipSettings {
         seeds: settings.seeds.clone(),
--- a/crates/rhubarblanding_mesh/tests/mesh/main.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/main.rs
@@ -258,6 +258,24 @@
     assert_that!(status.as_u16(), eq(200));
 }
 
+/// While a service has only targets beside stopping nodes, these take its requests, so that a
+/// restart of all of them in turn leaves no gap.
+#[tokio::test]
+async fn stopping_nodes_serve_while_no_other_target_of_their_service_does() {
+    let mut fleet = fleet().await;
+    fleet.stop(1);
+    fleet.stop(2);
+    let began = Instant::now();
+    let mut sent = 0;
+    while began.elapsed() < Duration::from_secs(3) {
+        let answer = fleet.request(0, "/once/x", &format!("r{sent}")).await;
+        let (status, _, _) = answer.expect("an answer");
+        assert_that!(status.as_u16(), eq(200), "after {:?}", began.elapsed());
+        sent += 1;
+        tokio::time::sleep(Duration::from_millis(15)).await;
+    }
+}
+
 /// A node that is started anew must know which lives left, whatever became of the first attempt to
 /// record it.
 async fn departure_is_recorded_after(faults: Faults, mended: Faults) {
--- a/crates/rhubarblanding_routing/src/router/mod.rs
+++ b/crates/rhubarblanding_routing/src/router/mod.rs
@@ -4,5 +4,5 @@
 mod settings;
 mod state;
 
-pub use settings::RouterSettings;
+pub use settings::{DrainingUse, RouterSettings};
 pub use state::{PickRequest, Router};
--- a/crates/rhubarblanding_routing/src/router/settings.rs
+++ b/crates/rhubarblanding_routing/src/router/settings.rs
@@ -2,6 +2,18 @@
 
 use std::time::Duration;
 
+/// When a router chooses targets that drain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum DrainingUse {
+    /// Never: they take no new requests.
+    #[default]
+    Never,
+    /// While no target serves: they still take requests, for as long as they run.
+    LastResort,
+    /// As if they served. For tests of the test oracle.
+    Always,
+}
+
 /// Settings of a [`Router`](super::Router).
 #[derive(Clone, Debug)]
 pub struct RouterSettings {
@@ -18,8 +30,8 @@
     pub ejected_max_percent: u32,
     /// Utilisation that is added to a failing target that is not ejected.
     pub failing_penalty: f64,
-    /// Whether draining targets are left out. Off only in tests of the test oracle.
-    pub skip_draining: bool,
+    /// When draining targets are chosen.
+    pub draining: DrainingUse,
 }
 
 impl Default for RouterSettings {
@@ -31,7 +43,7 @@
             cold_share: 0.1,
             ejected_max_percent: 50,
             failing_penalty: 1_000.0,
-            skip_draining: true,
+            draining: DrainingUse::Never,
         }
     }
 }
--- a/crates/rhubarblanding_routing/src/router/state.rs
+++ b/crates/rhubarblanding_routing/src/router/state.rs
@@ -4,7 +4,7 @@
 use rhubarblanding_core::prelude::*;
 use slotmap::SlotMap;
 
-use super::RouterSettings;
+use super::{DrainingUse, RouterSettings};
 use super::index::{Index, TargetKey, draw};
 use crate::target::health::HealthChange;
 use crate::target::{Target, TargetId, TargetOutcome};
@@ -86,10 +86,10 @@
         let Some(target) = known.and_then(|key| self.targets.get_mut(*key)) else {
             return self.insert(now, info);
         };
-        let before = (target.id(), target.is_serving());
+        let before = (target.id(), target.is_serving(), target.is_draining());
         target.update(now, info);
         // Announcements repeat often and mostly change nothing that the index holds.
-        if before != (target.id(), target.is_serving()) {
+        if before != (target.id(), target.is_serving(), target.is_draining()) {
             self.rebuild();
         }
     }
@@ -163,7 +163,7 @@
         }
     }
 
-    /// Number of targets that take new requests, ejected ones included.
+    /// Number of targets to choose from, ejected ones included.
     pub fn serving_len(&self) -> usize {
         self.index.all().len()
     }
@@ -242,7 +242,13 @@
     }
 
     fn rebuild(&mut self) {
-        let skip = self.settings.skip_draining;
-        self.index = Index::build(&self.targets, |target| !skip || target.is_serving());
+        let draining = self.settings.draining;
+        self.index = match draining {
+            DrainingUse::Always => Index::build(&self.targets, |_| true),
+            _ => Index::build(&self.targets, Target::is_serving),
+        };
+        if draining == DrainingUse::LastResort && self.index.all().is_empty() {
+            self.index = Index::build(&self.targets, Target::is_draining);
+        }
     }
 }
--- a/crates/rhubarblanding_routing/src/target/state.rs
+++ b/crates/rhubarblanding_routing/src/target/state.rs
@@ -68,6 +68,11 @@
         self.info.state == TargetState::Serving && !self.draining
     }
 
+    /// Whether the target is leaving and not yet gone.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.info.state == TargetState::Draining
+    }
+
     pub(crate) fn is_failing(&self) -> bool {
         self.health.is_failing()
     }
--- a/crates/rhubarblanding_routing/tests/flow/main.rs
+++ b/crates/rhubarblanding_routing/tests/flow/main.rs
@@ -83,7 +83,7 @@
 #[test]
 fn a_leaving_target_is_seen_to_get_work_where_draining_is_not_skipped() {
     let settings = RouterSettings {
-        skip_draining: false,
+        draining: DrainingUse::Always,
         ..RouterSettings::default()
     };
     let mut sim = Sim::new(SEED, settings, 0.3);
--- a/crates/rhubarblanding_routing/tests/router/world.rs
+++ b/crates/rhubarblanding_routing/tests/router/world.rs
@@ -87,7 +87,10 @@
 impl World {
     pub fn new(fault: u8) -> Self {
         let mut settings = RouterSettings {
-            skip_draining: fault != Fault::DRAINING_PICKED,
+            draining: match fault == Fault::DRAINING_PICKED {
+                true => DrainingUse::Always,
+                false => DrainingUse::Never,
+            },
             ..RouterSettings::default()
         };
         if fault == Fault::ALL_EJECTED {
