Let targets beside stopping nodes help out while those that serve are loaded

Change: a draining target is compared with the best serving one from the utilisation from which other availability zones are looked at, with the same margin; a target that begins to drain does not count as cold. Tests: rhubarblanding_routing draining (7 cases).

--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -332,7 +332,7 @@
 /// A draining target is one whose node stops; it takes requests for as long as its node runs.
 fn router_settings() -> RouterSettings {
     RouterSettings {
-        draining: DrainingUse::LastResort,
+        draining: DrainingUse::Spill,
         ..RouterSettings::default()
     }
 }
--- a/crates/rhubarblanding_routing/src/router/settings.rs
+++ b/crates/rhubarblanding_routing/src/router/settings.rs
@@ -8,8 +8,8 @@
     /// Never: they take no new requests.
     #[default]
     Never,
-    /// While no target serves: they still take requests, for as long as they run.
-    LastResort,
+    /// While those that serve are loaded or none does: they take requests for as long as they run.
+    Spill,
     /// As if they served. For tests of the test oracle.
     Always,
 }
@@ -17,9 +17,10 @@
 /// Settings of a [`Router`](super::Router).
 #[derive(Clone, Debug)]
 pub struct RouterSettings {
-    /// Utilisation of the better local target from which other zones are looked at.
+    /// Utilisation of the better local target from which other zones are looked at, and of the
+    /// better target from which those that drain are.
     pub spill_utilisation: f64,
-    /// Utilisation by which a target of another zone must be better.
+    /// Utilisation by which a target of another zone, or one that drains, must be better.
     pub spill_margin: f64,
     /// Time within which a new or recovered target reaches its full share.
     pub slow_start: Duration,
--- a/crates/rhubarblanding_routing/src/router/state.rs
+++ b/crates/rhubarblanding_routing/src/router/state.rs
@@ -4,8 +4,8 @@
 use rhubarblanding_core::prelude::*;
 use slotmap::SlotMap;
 
-use super::{DrainingUse, RouterSettings};
 use super::index::{Index, TargetKey, draw};
+use super::{DrainingUse, RouterSettings};
 use crate::target::health::HealthChange;
 use crate::target::{Target, TargetId, TargetOutcome};
 
@@ -69,6 +69,7 @@
     targets: SlotMap<TargetKey, Target>,
     by_host: HashMap<HostId, TargetKey>,
     index: Index,
+    draining: Index,
 }
 
 impl Router {
@@ -110,27 +111,55 @@
     }
 
     /// Chooses a target: the less utilised of two random ones, of the preferred zone unless that
-    /// is loaded.
+    /// is loaded, and one that drains only if the settings let it help out.
     pub fn pick(
         &self,
         now: MonoTime,
         rng: &mut impl Rng,
         req: PickRequest<'_>,
     ) -> Option<TargetId> {
+        let serving = self.pick_serving(now, rng, req);
+        let spill = self.settings.spill_utilisation;
+        let is_loaded = serving.is_none_or(|candidate| candidate.utilisation >= spill);
+        if is_loaded && let Some(draining) = self.pick_draining(now, rng, req, serving) {
+            return self.id(draining);
+        }
+        self.id(serving?)
+    }
+
+    fn pick_draining(
+        &self,
+        now: MonoTime,
+        rng: &mut impl Rng,
+        req: PickRequest<'_>,
+        serving: Option<Candidate>,
+    ) -> Option<Candidate> {
+        let draining = self.better_of_two(now, rng, self.draining.all(), req.exclude)?;
+        let margin = self.settings.spill_margin;
+        let is_better = serving.is_none_or(|s| draining.utilisation + margin < s.utilisation);
+        is_better.then_some(draining)
+    }
+
+    fn pick_serving(
+        &self,
+        now: MonoTime,
+        rng: &mut impl Rng,
+        req: PickRequest<'_>,
+    ) -> Option<Candidate> {
         let local = req
             .zone
             .and_then(|zone| self.better_of_two(now, rng, self.index.zone(zone), req.exclude));
         if let Some(local) = local
             && local.utilisation < self.settings.spill_utilisation
         {
-            return self.id(local);
+            return Some(local);
         }
         let any = self.better_of_two(now, rng, self.index.all(), req.exclude)?;
         match local {
             Some(local) if local.utilisation <= any.utilisation + self.settings.spill_margin => {
-                self.id(local)
+                Some(local)
             }
-            _ => self.id(any),
+            _ => Some(any),
         }
     }
 
@@ -163,7 +192,7 @@
         }
     }
 
-    /// Number of targets to choose from, ejected ones included.
+    /// Number of targets that take new requests, ejected ones included.
     pub fn serving_len(&self) -> usize {
         self.index.all().len()
     }
@@ -247,8 +276,9 @@
             DrainingUse::Always => Index::build(&self.targets, |_| true),
             _ => Index::build(&self.targets, Target::is_serving),
         };
-        if draining == DrainingUse::LastResort && self.index.all().is_empty() {
-            self.index = Index::build(&self.targets, Target::is_draining);
-        }
+        self.draining = match draining {
+            DrainingUse::Spill => Index::build(&self.targets, Target::is_draining),
+            _ => Index::default(),
+        };
     }
 }
--- a/crates/rhubarblanding_routing/src/target/state.rs
+++ b/crates/rhubarblanding_routing/src/target/state.rs
@@ -57,7 +57,7 @@
             true => self.info.state.max(info.state),
             false => info.state,
         };
-        if state != self.info.state {
+        if state != self.info.state && state == TargetState::Serving {
             self.warming_since = now;
         }
         self.info = TargetInfo { state, ..info };
