Spend retries first on calls that few others must follow

A request needs several such calls in series, and retries are bounded; those spent on early calls of a chain are mostly lost with the chain. Change: a node learns how many calls requests of a kind make beside its target, passes on how many are expected to follow each call, and a retry with n to follow leaves 25 % of the budget for each to those that gain more. Tests: mesh lineage (3), request decisions::a_reserve_is_left_to_retries_that_gain_more.

--- a/crates/rhubarblanding_mesh/src/process/lineage.rs
+++ b/crates/rhubarblanding_mesh/src/process/lineage.rs
@@ -1,7 +1,13 @@
 //! What the calls of running requests inherit from them.
 
+use rhubarblanding_admission::slots::KindKey;
 use rhubarblanding_core::prelude::*;
 
+/// Kinds of requests whose number of calls is kept.
+const KINDS_MAX: usize = 1_024;
+/// Weight of the latest request in the number of calls of its kind.
+const CALLS_WEIGHT: f64 = 0.125;
+
 /// What a call inherits from the request at whose run it is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lineage {
@@ -11,6 +17,9 @@
     pub objective: MonoTime,
     /// Whether the first request was sent a second time, so that its calls are repeats.
     pub repeated: bool,
+    /// Calls that the requests above are expected to make after this one has ended, all of which
+    /// must succeed.
+    pub calls_left: u32,
 }
 
 /// Requests that run at the local target, by their identifiers.
@@ -20,27 +29,48 @@
 #[derive(Clone, Debug, Default)]
 pub struct Running {
     by_id: HashMap<Box<[u8]>, Run>,
+    /// Calls of a request that ended well, by its kind.
+    usual_calls: HashMap<KindKey, f64>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Run {
     lineage: Lineage,
+    kind: KindKey,
+    calls: u32,
     call_failed: bool,
 }
 
 impl Running {
     /// Notes that a request runs.
-    pub fn insert(&mut self, id: &[u8], lineage: Lineage) {
+    pub fn insert(&mut self, id: &[u8], kind: KindKey, lineage: Lineage) {
         let run = Run {
             lineage,
+            kind,
+            calls: 0,
             call_failed: false,
         };
         self.by_id.insert(id.into(), run);
     }
 
-    /// Notes that a request has ended.
-    pub fn remove(&mut self, id: &[u8]) {
-        self.by_id.remove(id);
+    /// Notes that a request has ended, and whether with success.
+    pub fn remove(&mut self, id: &[u8], succeeded: bool) {
+        if let Some(run) = self.by_id.remove(id)
+            && succeeded
+        {
+            self.learn(run.kind, f64::from(run.calls));
+        }
+    }
+
+    fn learn(&mut self, kind: KindKey, calls: f64) {
+        let has_room = self.usual_calls.len() < KINDS_MAX;
+        match self.usual_calls.get_mut(&kind) {
+            Some(usual) => *usual += CALLS_WEIGHT * (calls - *usual),
+            None if has_room => {
+                self.usual_calls.insert(kind, calls);
+            }
+            None => {}
+        }
     }
 
     /// Notes that a call of one of `parents` brought no success.
@@ -57,9 +87,16 @@
         self.by_id.get(id).is_some_and(|run| run.call_failed)
     }
 
-    /// What a call inherits, if one of `parents` runs.
-    pub fn inherited(&self, parents: &[&[u8]]) -> Option<Lineage> {
-        let run = parents.iter().find_map(|id| self.by_id.get(*id));
-        run.map(|run| run.lineage)
+    /// Counts a call of one of `parents`, if that runs; returns what the call inherits.
+    pub fn begin_call(&mut self, parents: &[&[u8]]) -> Option<Lineage> {
+        let parent = parents.iter().find(|id| self.by_id.contains_key(**id))?;
+        let run = self.by_id.get_mut(*parent)?;
+        run.calls += 1;
+        let usual = self.usual_calls.get(&run.kind).copied().unwrap_or_default();
+        let own_left = (usual.round() as u32).saturating_sub(run.calls);
+        Some(Lineage {
+            calls_left: run.lineage.calls_left.saturating_add(own_left),
+            ..run.lineage
+        })
     }
 }
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -5,7 +5,7 @@
 
 use http::StatusCode;
 use rhubarblanding_admission::slots::{
-    SlotArrival, SlotDecision, SlotGate, SlotSettings, SlotVerdict,
+    KindKey, SlotArrival, SlotDecision, SlotGate, SlotSettings, SlotVerdict,
 };
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_node::process::parking::{Mutex, lock};
@@ -81,11 +81,20 @@
 pub struct RunningGuard {
     node: Arc<Shared>,
     id: Box<[u8]>,
+    succeeded: bool,
+}
+
+impl RunningGuard {
+    /// Notes that the request brought success.
+    pub fn succeeded(&mut self) {
+        self.succeeded = true;
+    }
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
-        lock(&self.node.local.state).running.remove(&self.id);
+        let mut state = lock(&self.node.local.state);
+        state.running.remove(&self.id, self.succeeded);
     }
 }
 
@@ -276,17 +285,24 @@
     }
 
     /// Notes that a request runs at the target until the guard is dropped.
-    pub fn note_running(&self, node: &Arc<Shared>, id: &[u8], lineage: Lineage) -> RunningGuard {
-        lock(&self.state).running.insert(id, lineage);
+    pub fn note_running(
+        &self,
+        node: &Arc<Shared>,
+        id: &[u8],
+        kind: KindKey,
+        lineage: Lineage,
+    ) -> RunningGuard {
+        lock(&self.state).running.insert(id, kind, lineage);
         RunningGuard {
             node: Arc::clone(node),
             id: id.into(),
+            succeeded: false,
         }
     }
 
-    /// What a request inherits if it is a call of one that runs at the target.
-    pub fn inherited(&self, parents: &[&[u8]]) -> Option<Lineage> {
-        lock(&self.state).running.inherited(parents)
+    /// Notes a request; returns what it inherits if it is a call of one that runs at the target.
+    pub fn begin_call(&self, parents: &[&[u8]]) -> Option<Lineage> {
+        lock(&self.state).running.begin_call(parents)
     }
 
     /// Notes that a call of one of `parents` brought no success.
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -33,6 +33,11 @@
 const RETRY_NODES_MIN: usize = 8;
 /// Time whose first attempts may be sent again at once.
 const RETRY_BURST_TIME: Duration = Duration::from_millis(100);
+/// Share of the retries that one that must be followed by a further call leaves to those that gain
+/// more, in percent for each such call.
+const RETRY_RESERVE_PERCENT: u32 = 25;
+/// Greatest share of the retries that is left to those that gain more, in percent.
+const RETRY_RESERVE_MAX_PERCENT: u32 = 75;
 
 /// Nodes that a node introduces itself to when it is told their addresses: all, in fleets of a
 /// few hundred hosts, so that a fleet that starts at once is whole within one exchange.
@@ -274,9 +279,14 @@
         self.with_budget(service, |budget, now| budget.charge(now));
     }
 
-    /// Whether a request to `service` may be sent to a second target.
-    pub fn take_retry(&self, service: &ServiceName) -> bool {
-        let taken = self.with_budget(service, |budget, now| budget.take(now));
+    /// Whether a request to `service` may be sent to a second target. The fewer calls must still
+    /// succeed after it, the more a retry is likely to gain.
+    pub fn take_retry(&self, service: &ServiceName, calls_left: u32) -> bool {
+        let reserve = calls_left.saturating_mul(RETRY_RESERVE_PERCENT);
+        let reserve = reserve.min(RETRY_RESERVE_MAX_PERCENT);
+        let taken = self.with_budget(service, |budget, now| {
+            budget.take_with_reserve(now, reserve)
+        });
         if taken == BudgetState::Available {
             self.metrics.retried();
         }
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -51,6 +51,7 @@
     rank: u8,
     is_call: bool,
     repeated: bool,
+    calls_left: u32,
 }
 
 /// Answers a request of a client or of the local target.
@@ -112,7 +113,7 @@
         return Err(reject(ErrorKind::UnknownRoute, None));
     };
     let parents = node.dialect.possible_parents(request_id.as_bytes());
-    let lineage = node.local.inherited(&parents);
+    let lineage = node.local.begin_call(&parents);
     if node.is_refusing_clients() && lineage.is_none() {
         return Err(reject(ErrorKind::NodeDraining, Some(STOPPING_RETRY)));
     }
@@ -165,6 +166,7 @@
         rank,
         is_call: lineage.is_some(),
         repeated: lineage.is_some_and(|l| l.repeated),
+        calls_left: lineage.map_or(0, |l| l.calls_left),
     })
 }
 
@@ -384,7 +386,7 @@
 ) -> bool {
     let is_allowed = attempts.reached < exchange.route.route().max_attempts
         && attempts.tried.len() < PLACEMENTS_MAX
-        && node.take_retry(&exchange.service);
+        && node.take_retry(&exchange.service, exchange.calls_left);
     if is_allowed {
         node.log_retry(&exchange.id, &exchange.service, reason, &attempts.tried);
     }
@@ -402,6 +404,7 @@
             rank: exchange.rank,
             is_call: exchange.is_call,
             repeated: exchange.repeated || reached > 0,
+            calls_left: exchange.calls_left,
             kind: KindKey(stable_hash(0, route.name.as_bytes())),
             host: exchange.host.clone(),
         },
--- a/crates/rhubarblanding_mesh/src/request/hop.rs
+++ b/crates/rhubarblanding_mesh/src/request/hop.rs
@@ -36,6 +36,8 @@
     pub is_call: bool,
     /// Whether it, or a request of its chain, is sent a second time.
     pub repeated: bool,
+    /// Calls that the requests above it are expected to make after it.
+    pub calls_left: u32,
     /// Host that the client asked for.
     pub host: String,
 }
@@ -44,7 +46,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{};{};{};{};{:x};{}{};{}",
+            "{};{};{};{};{:x};{}{};{};{}",
             self.service,
             self.deadline.as_millis(),
             self.objective.as_millis(),
@@ -52,6 +54,7 @@
             self.kind.0,
             u8::from(self.is_call),
             u8::from(self.repeated),
+            self.calls_left,
             self.host
         )
     }
@@ -65,7 +68,7 @@
     type Error = InvalidHop;
 
     fn try_from(raw: &str) -> Result<Self, InvalidHop> {
-        let mut fields = raw.splitn(7, ';');
+        let mut fields = raw.splitn(8, ';');
         let mut next = || fields.next().ok_or(InvalidHop);
         let service = ServiceName::try_from(next()?).map_err(|_| InvalidHop)?;
         let deadline = millis(next()?)?;
@@ -73,6 +76,7 @@
         let rank = next()?.parse().map_err(|_| InvalidHop)?;
         let kind = u64::from_str_radix(next()?, 16).map_err(|_| InvalidHop)?;
         let (is_call, repeated) = flags(next()?)?;
+        let calls_left = next()?.parse().map_err(|_| InvalidHop)?;
         Ok(Self {
             service,
             deadline,
@@ -81,6 +85,7 @@
             kind: KindKey(kind),
             is_call,
             repeated,
+            calls_left,
             host: next()?.to_owned(),
         })
     }
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -181,9 +181,12 @@
         rank: hop.header.rank,
         objective: node.clock.now() + hop.header.objective,
         repeated: hop.header.repeated,
+        calls_left: hop.header.calls_left,
     };
     let id_bytes = id.as_ref().map_or(&[][..], HeaderValue::as_bytes);
-    let _running = node.local.note_running(node, id_bytes, lineage);
+    let mut running = node
+        .local
+        .note_running(node, id_bytes, hop.header.kind, lineage);
     let req = prepare(node, hop, &permit, deadline);
     let addr = node.settings().target_addr;
     for _ in 0..CONNECT_ATTEMPTS {
@@ -198,6 +201,9 @@
         match conn.exchange(req.clone()).await {
             Ok(resp) => {
                 *call_failed = node.local.has_failed_call(id_bytes);
+                if resp.status().is_success() {
+                    running.succeeded();
+                }
                 return receive(node, conn, resp, &mut permit, id.as_ref()).await;
             }
             Err(ExchangeError::NotSent) => {}
--- a/crates/rhubarblanding_mesh/tests/hop.rs
+++ b/crates/rhubarblanding_mesh/tests/hop.rs
@@ -17,6 +17,7 @@
         kind: KindKey(0xfeed),
         is_call: true,
         repeated: false,
+        calls_left: 3,
         host: "a;b.example:80".to_owned(),
     };
     assert_that!(HopHeader::try_from(&*header.to_string()), ok(eq(&header)));
--- /dev/null
+++ b/crates/rhubarblanding_mesh/tests/lineage.rs
@@ -0,0 +1,71 @@
+//! What calls inherit from the requests that run beside a node, and how many calls are expected to
+//! follow them.
+
+use googletest::prelude::*;
+use rhubarblanding_admission::slots::KindKey;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_mesh::process::{Lineage, Running};
+
+const KIND: KindKey = KindKey(1);
+
+fn lineage(calls_left: u32) -> Lineage {
+    Lineage {
+        rank: 1,
+        objective: MonoTime::from_millis(900),
+        repeated: false,
+        calls_left,
+    }
+}
+
+/// A request that makes `calls` calls and ends.
+fn run_one(running: &mut Running, calls: usize, succeeded: bool) {
+    running.insert(b"earlier", KIND, lineage(0));
+    for _ in 0..calls {
+        assert_that!(running.begin_call(&[b"earlier"]), some(anything()));
+    }
+    running.remove(b"earlier", succeeded);
+}
+
+/// Calls that are expected to follow each of three calls of a request.
+fn left_after_each(running: &mut Running, above: u32) -> Vec<u32> {
+    running.insert(b"r", KIND, lineage(above));
+    let calls = (0..3).filter_map(|_| running.begin_call(&[b"r"]));
+    calls.map(|inherited| inherited.calls_left).collect()
+}
+
+#[test]
+fn calls_left_are_those_of_earlier_requests_of_the_kind_and_of_the_requests_above() {
+    let mut running = Running::default();
+    run_one(&mut running, 3, true);
+    assert_that!(
+        left_after_each(&mut running, 0),
+        elements_are![eq(&2), eq(&1), eq(&0)]
+    );
+    assert_that!(
+        left_after_each(&mut running, 2),
+        elements_are![eq(&4), eq(&3), eq(&2)]
+    );
+}
+
+#[test]
+fn failed_requests_and_other_kinds_teach_nothing() {
+    let mut running = Running::default();
+    run_one(&mut running, 3, false);
+    running.insert(b"other", KindKey(2), lineage(0));
+    running.begin_call(&[b"other"]);
+    running.remove(b"other", true);
+    assert_that!(
+        left_after_each(&mut running, 0),
+        elements_are![eq(&0), eq(&0), eq(&0)]
+    );
+}
+
+#[test]
+fn a_request_whose_parent_does_not_run_here_inherits_nothing() {
+    let mut running = Running::default();
+    running.insert(b"r", KIND, lineage(0));
+    assert_that!(running.begin_call(&[b"x", b"y"]), none());
+    assert_that!(running.begin_call(&[b"x", b"r"]), some(eq(lineage(0))));
+    running.remove(b"r", true);
+    assert_that!(running.begin_call(&[b"r"]), none());
+}
--- a/crates/rhubarblanding_request/src/budget.rs
+++ b/crates/rhubarblanding_request/src/budget.rs
@@ -118,12 +118,19 @@
 
     /// Whether a retry is allowed.
     pub fn state(&mut self, now: MonoTime) -> BudgetState {
+        self.state_with_reserve(now, 0)
+    }
+
+    /// Whether a retry is allowed that leaves `reserve_percent` of the bucket to others. From a
+    /// full bucket any may be taken.
+    fn state_with_reserve(&mut self, now: MonoTime, reserve_percent: u32) -> BudgetState {
         if now < self.overloaded_until {
             return BudgetState::Overloaded;
         }
         self.refill(now);
         let burst = self.rate.per_window().max(u64::from(self.settings.burst));
-        if self.taken + RETRY > burst * RETRY {
+        let share = u64::from(100 - reserve_percent.min(100));
+        if self.taken + RETRY > (burst * share * PERCENT).max(RETRY) {
             return BudgetState::Empty;
         }
         BudgetState::Available
@@ -131,7 +138,12 @@
 
     /// Takes one retry, if the state is [`BudgetState::Available`].
     pub fn take(&mut self, now: MonoTime) -> BudgetState {
-        let state = self.state(now);
+        self.take_with_reserve(now, 0)
+    }
+
+    /// Takes one retry if that leaves `reserve_percent` of the bucket to retries that gain more.
+    pub fn take_with_reserve(&mut self, now: MonoTime, reserve_percent: u32) -> BudgetState {
+        let state = self.state_with_reserve(now, reserve_percent);
         if state == BudgetState::Available {
             self.taken += RETRY;
         }
--- a/crates/rhubarblanding_request/tests/decisions.rs
+++ b/crates/rhubarblanding_request/tests/decisions.rs
@@ -158,3 +158,25 @@
     assert_that!(call.importance, eq(Importance::Critical));
     assert_that!(call.deadline, eq(deadline));
 }
+
+/// Retries that a full bucket of ten gives to a caller that leaves a share to others.
+fn retries_with_reserve(reserve_percent: u32) -> u32 {
+    let settings = BudgetSettings {
+        burst: 10,
+        floor_per_second: 0,
+        ..BudgetSettings::default()
+    };
+    let mut budget = RetryBudget::new(MonoTime::ZERO, settings);
+    let take = || budget.take_with_reserve(MonoTime::ZERO, reserve_percent);
+    std::iter::repeat_with(take)
+        .take(20)
+        .filter(|state| *state == BudgetState::Available)
+        .count() as u32
+}
+
+#[test]
+fn a_reserve_is_left_to_retries_that_gain_more() {
+    let taken: Vec<u32> = [0, 25, 50, 100].map(retries_with_reserve).into();
+    // From a full bucket any retry may be taken.
+    assert_that!(taken, elements_are![eq(&10), eq(&7), eq(&5), eq(&1)]);
+}
