--- a/crates/rhubarblanding_admission/src/slots/gate.rs
+++ b/crates/rhubarblanding_admission/src/slots/gate.rs
@@ -76,6 +76,23 @@
     Refused(Refusal),
 }
 
+/// What the decision on a request of one kind rests on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlotInputs {
+    /// Requests at the backend server.
+    pub running: u32,
+    /// Requests waiting for a slot.
+    pub queued: u32,
+    /// Slots in use at most.
+    pub slots: u32,
+    /// Time that a request of the kind usually holds a slot.
+    pub hold: Duration,
+    /// Requests of the kind that run or wait.
+    pub open: u32,
+    /// Requests of the kind completed in the last second.
+    pub completed_per_s: f64,
+}
+
 /// Later decision on a queued request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotVerdict {
@@ -212,6 +229,18 @@
         self.timers.next_due()
     }
 
+    /// What a decision on a request of `kind` rests on at present.
+    pub fn inputs(&self, kind: KindKey) -> SlotInputs {
+        SlotInputs {
+            running: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+            slots: self.slots,
+            hold: self.hold_times.of(kind),
+            open: self.pace.open(kind),
+            completed_per_s: self.pace.rate(kind),
+        }
+    }
+
     /// Load to be reported.
     pub fn load(&self) -> LoadReport {
         LoadReport {
--- a/crates/rhubarblanding_admission/src/slots/mod.rs
+++ b/crates/rhubarblanding_admission/src/slots/mod.rs
@@ -9,4 +9,4 @@
 mod queue;
 
 pub use estimate::KindKey;
-pub use gate::{SlotArrival, SlotDecision, SlotGate, SlotSettings, SlotVerdict};
+pub use gate::{SlotArrival, SlotDecision, SlotGate, SlotInputs, SlotSettings, SlotVerdict};
--- a/crates/rhubarblanding_admission/src/slots/pace.rs
+++ b/crates/rhubarblanding_admission/src/slots/pace.rs
@@ -85,6 +85,16 @@
         Duration::from_secs_f64(1.0 / kind.rate().max(1.0))
     }
 
+    /// Open requests of the kind.
+    pub(super) fn open(&self, kind: KindKey) -> u32 {
+        self.kinds.get(&kind).map_or(0, |kind| kind.open)
+    }
+
+    /// Completions of the kind in a second, as of its last request.
+    pub(super) fn rate(&self, kind: KindKey) -> f64 {
+        self.kinds.get(&kind).map_or(0.0, Kind::rate)
+    }
+
     pub(super) fn opened(&mut self, kind: KindKey) {
         self.kinds.entry(kind).or_default().open += 1;
     }
--- a/crates/rhubarblanding_mesh/src/process/events.rs
+++ b/crates/rhubarblanding_mesh/src/process/events.rs
@@ -7,6 +7,7 @@
 use rhubarblanding_routing::prelude::TargetId;
 
 use super::shared::Shared;
+use crate::request::HopHeader;
 
 /// Where a request ended without an answer of a target.
 #[derive(Clone, Copy, Debug)]
@@ -121,6 +122,20 @@
         );
     }
 
+    /// Logs a request that the gate in front of the local target refused, with what decided it.
+    pub fn log_turned_away(&self, id: Option<&HeaderValue>, header: &HopHeader, refusal: Refusal) {
+        let inputs = self.local.inputs(header.kind);
+        log::info!(
+            id = text(id), reason:% = refusal.kind, rank = header.rank, is_call = header.is_call,
+            objective_ms = header.objective.as_millis() as u64,
+            deadline_ms = header.deadline.as_millis() as u64,
+            running = inputs.running, queued = inputs.queued, slots = inputs.slots,
+            hold_us = inputs.hold.as_micros() as u64, open_of_kind = inputs.open,
+            completed_per_s = inputs.completed_per_s;
+            "turned_away"
+        );
+    }
+
     /// Logs and counts a request that brought no usable answer of the local target.
     pub fn log_target_failure(&self, id: Option<&HeaderValue>, reason: &str) {
         self.metrics.target_failed();
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -5,7 +5,7 @@
 
 use http::StatusCode;
 use rhubarblanding_admission::slots::{
-    KindKey, SlotArrival, SlotDecision, SlotGate, SlotSettings, SlotVerdict,
+    KindKey, SlotArrival, SlotDecision, SlotGate, SlotInputs, SlotSettings, SlotVerdict,
 };
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_node::process::parking::{Mutex, lock};
@@ -200,6 +200,11 @@
         })
     }
 
+    /// What the decision on a request of `kind` rests on at present.
+    pub fn inputs(&self, kind: KindKey) -> SlotInputs {
+        lock(&self.state).gate.inputs(kind)
+    }
+
     /// Load that is told to other nodes.
     pub fn load(&self) -> LoadReport {
         lock(&self.state).gate.load()
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -141,7 +141,11 @@
         .await
     {
         Ok(permit) => run(&node, hop, permit, deadline, &mut call_failed).await,
-        Err(refusal) => HopOutcome::Refused(refusal),
+        Err(refusal) => {
+            let id = hop.headers.get(&node.dialect.headers().request_id);
+            node.log_turned_away(id, &hop.header, refusal);
+            HopOutcome::Refused(refusal)
+        }
     };
     HopReply {
         outcome,
