Do not let quick failures slow the pace of new work

Change: a request that fails within half the usual time of its kind counts as completed in the pace.

--- a/crates/rhubarblanding_admission/src/slots/gate.rs
+++ b/crates/rhubarblanding_admission/src/slots/gate.rs
@@ -12,6 +12,10 @@
 /// Requests that each kind may have open whatever its pace, on a target of few slots.
 const PACE_FREE_MIN: u32 = 3;
 
+/// A request that fails within the usual time of its kind divided by this was not held up by
+/// waiting: what waits in vain does so for longer than what is served.
+const QUICK_FACTOR: f64 = 2.0;
+
 /// Settings of a [`SlotGate`].
 #[derive(Clone, Debug)]
 pub struct SlotSettings {
@@ -205,9 +209,11 @@
     /// to an answer, so that the time it took is of use.
     pub fn finished(&mut self, now: MonoTime, id: u64, answered: bool) {
         if let Some(running) = self.running.remove(&id) {
-            self.pace.closed(now, running.kind, answered);
+            let held = now.since(running.since);
+            // What fails early was not held up further down; that says nothing against more of it.
+            let is_quick = held.mul_f64(QUICK_FACTOR) <= self.hold_times.of(now, running.kind);
+            self.pace.closed(now, running.kind, answered || is_quick);
             if answered {
-                let held = now.since(running.since);
                 self.hold_times.record(now, running.kind, held);
             }
         }
--- a/crates/rhubarblanding_admission/src/slots/pace.rs
+++ b/crates/rhubarblanding_admission/src/slots/pace.rs
@@ -99,6 +99,7 @@
         self.kinds.entry(kind).or_default().open += 1;
     }
 
+    /// Counts the end of a request. `completed` unless it may have been held up in vain.
     pub(super) fn closed(&mut self, now: MonoTime, kind: KindKey, completed: bool) {
         let kind = self.kinds.entry(kind).or_default();
         kind.open = kind.open.saturating_sub(1);
