--- a/crates/rhubarblanding_routing/tests/draining.rs
+++ b/crates/rhubarblanding_routing/tests/draining.rs
@@ -1,4 +1,7 @@
-//! Targets that drain are chosen only by a router that may, and only while none serves.
+//! Targets that drain are chosen only by a router that may, and only while those that serve are
+//! loaded or none does.
+
+#![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
 
 use std::time::Duration;
 
@@ -14,8 +17,8 @@
     TargetInfo {
         host: HostId(([127, 0, 0, 1], port).into()),
         incarnation: Incarnation(1),
-        service: "turnos".try_into().unwrap(),
-        zone: "ros".try_into().unwrap(),
+        service: ServiceName::try_from("turnos").expect("a name"),
+        zone: ZoneName::try_from("ros").expect("a name"),
         slots: 8,
         state,
     }
--- a/tools/standins/tests/ports.rs
+++ b/tools/standins/tests/ports.rs
@@ -1,5 +1,7 @@
 //! Free ports stay free for the processes that they were chosen for.
 
+#![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
+
 use std::net::TcpListener;
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -36,19 +38,16 @@
         .map(|address| TcpListener::bind(address).unwrap())
         .collect();
     let taken: Vec<_> = held.iter().map(|l| l.local_addr().unwrap()).collect();
-    // All ports have their turn.
+    // Enough that every port has its turn.
     let mut chosen = Vec::new();
-    while let Ok(addresses) = free_addresses(1_000) {
-        chosen.extend(addresses);
-        if chosen.len() >= 22_000 {
-            break;
-        }
+    while chosen.len() < 22_000 {
+        chosen.extend(free_addresses(1_000).unwrap());
     }
     expect_that!(chosen.iter().filter(|a| taken.contains(a)).count(), eq(0));
 }
 
 fn can_listen() -> bool {
-    let address = free_addresses(1).unwrap()[0];
+    let address = free_addresses(1).expect("a free port")[0];
     TcpListener::bind(address).is_ok()
 }
 
