--- a/crates/rhubarblanding_node/src/process/json_lines.rs
+++ b/crates/rhubarblanding_node/src/process/json_lines.rs
@@ -15,12 +15,13 @@
 
 use super::parking::lock;
 
-/// Lines collected before they are handed to the writing thread.
-const BATCH_BYTES: usize = 16 * 1024;
+/// Greatest size of the lines that are handed to the writing thread together: what a pipe takes as
+/// a whole (`PIPE_BUF`), so that no reader sees a part of a line before those of other writers.
+const BATCH_BYTES: usize = 4 * 1024;
 /// Longest time for which a line is collected.
 const BATCH_TIME: Duration = Duration::from_millis(200);
 /// Batches that may wait to be written; further ones are dropped and counted.
-const BATCHES_WAITING: usize = 64;
+const BATCHES_WAITING: usize = 256;
 /// Lines of one event that are written in a second; further ones are counted.
 const LINES_PER_SECOND: u32 = 40;
 /// Length of the time over which lines of one event are counted.
@@ -130,9 +131,6 @@
 
 impl Pending {
     fn admit(&mut self, event: &str) -> bool {
-        if self.window.elapsed() >= RATE_WINDOW {
-            self.end_window();
-        }
         if let Some(rate) = self.rates.get_mut(event) {
             if rate.written >= LINES_PER_SECOND {
                 rate.suppressed += 1;
@@ -149,17 +147,22 @@
         true
     }
 
-    fn end_window(&mut self) {
-        for (event, rate) in std::mem::take(&mut self.rates) {
-            if rate.suppressed > 0 {
+    /// Lines about what was left out, once a window is over.
+    fn end_window(&mut self) -> Vec<Vec<u8>> {
+        if self.window.elapsed() < RATE_WINDOW {
+            return Vec::new();
+        }
+        self.window = Instant::now();
+        let rates = std::mem::take(&mut self.rates).into_iter();
+        let suppressed = rates.filter(|(_, rate)| rate.suppressed > 0);
+        suppressed
+            .map(|(event, rate)| {
                 let mut fields = Map::new();
                 fields.insert("of".into(), event.into());
                 fields.insert("count".into(), rate.suppressed.into());
-                self.batch
-                    .extend(line("lines_suppressed", Level::Info, fields));
-            }
-        }
-        self.window = Instant::now();
+                line("lines_suppressed", Level::Info, fields)
+            })
+            .collect()
     }
 
     fn is_due(&self) -> bool {
@@ -168,6 +171,13 @@
 }
 
 impl JsonLines {
+    fn push(&self, pending: &mut Pending, line: Vec<u8>) {
+        if pending.batch.len() + line.len() > BATCH_BYTES {
+            self.hand_over(pending);
+        }
+        pending.batch.extend(line);
+    }
+
     fn hand_over(&self, pending: &mut Pending) {
         if pending.batch.is_empty() {
             return;
@@ -198,10 +208,13 @@
             None => record.args().to_string(),
         };
         let mut pending = lock(&self.pending);
+        for line in pending.end_window() {
+            self.push(&mut pending, line);
+        }
         if pending.admit(&event) {
             let mut fields = Fields(Map::new());
             let _ = record.key_values().visit(&mut fields);
-            pending.batch.extend(line(&event, record.level(), fields.0));
+            self.push(&mut pending, line(&event, record.level(), fields.0));
         }
         if pending.is_due() {
             self.hand_over(&mut pending);
