--- a/crates/rhubarblanding_node/src/connection/listener.rs
+++ b/crates/rhubarblanding_node/src/connection/listener.rs
@@ -28,6 +28,9 @@
 const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
 /// Flow control window of one connection, in bytes.
 const CONNECTION_WINDOW_BYTES: u32 = (1 << 31) - 1;
+/// Requests that a client may reset before they were taken: callers that leave cause many at once on
+/// the connection between two nodes. Each takes some hundred bytes until it is taken.
+const RESETS_PENDING_MAX: usize = 4_096;
 /// Time between pings to the client of an HTTP/2 connection.
 const PING_INTERVAL: Duration = Duration::from_secs(5);
 /// Wait after a failed accept, which mostly means that file descriptors ran out.
@@ -102,6 +105,7 @@
         .max_header_list_size(HEADER_LIST_BYTES)
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_pending_accept_reset_streams(RESETS_PENDING_MAX)
         .keep_alive_interval(PING_INTERVAL);
     server
 }
