--- a/tests/process/support.rs
+++ b/tests/process/support.rs
@@ -20,8 +20,8 @@
 /// Time for which writes must succeed before a test begins.
 const STEADY: Duration = Duration::from_secs(2);
 
-/// Clusters that run at a time.
-static CLUSTERS: Semaphore = Semaphore::const_new(2);
+/// Clusters that run at a time. Each takes some tenth of eight processors.
+static CLUSTERS: Semaphore = Semaphore::const_new(3);
 
 /// A running cluster and the permission to run it.
 pub struct Bench {
