Keep one copy of what the mesh wrote again: ticks, headers, guards, refusals and bounded reads

Cause, found on reading the whole change: the mesh had a second copy of the loop that ticks a membership, of the removal of headers that concern one connection, and of the trait that learns how a body ended; its gate refused waiting requests in four places, its faces read bounded bodies in three, and two arms logged a target alike. Change: both programs call process::ticks::run and headers::strip_hop_by_hop (the mesh still removes proxy-connection as well) and use body::EndGuard; SlotGate::refuse, read_logged and on_target serve the others; a guard that did nothing and a parameter that was always false are gone. Behaviour is meant to be the same: no test, bound or log event changed.

--- a/crates/rhubarblanding_admission/src/slots/gate.rs
+++ b/crates/rhubarblanding_admission/src/slots/gate.rs
@@ -266,12 +266,17 @@
     pub fn refuse_waiting(&mut self, now: MonoTime, kind: ErrorKind) {
         for waiting in self.queue.take_all() {
             self.timers.cancel(waiting.timer);
-            self.pace.closed(now, waiting.arrival.kind, false);
-            let verdict = SlotVerdict::Refused(waiting.arrival.id, Refusal::new(kind));
-            self.verdicts.push(verdict);
+            self.refuse(now, &waiting.arrival, Refusal::new(kind));
         }
     }
 
+    /// Refuses a request that has left the queue.
+    fn refuse(&mut self, now: MonoTime, arrival: &SlotArrival, refusal: Refusal) {
+        self.pace.closed(now, arrival.kind, false);
+        self.verdicts
+            .push(SlotVerdict::Refused(arrival.id, refusal));
+    }
+
     fn advance(&mut self, now: MonoTime) {
         for id in self.timers.expire(now) {
             self.on_timer(now, id);
@@ -293,9 +298,7 @@
             return;
         }
         self.queue.remove(id);
-        self.pace.closed(now, waiting.arrival.kind, false);
-        let refusal = Refusal::new(ErrorKind::QueueTimeout);
-        self.verdicts.push(SlotVerdict::Refused(id, refusal));
+        self.refuse(now, &waiting.arrival, Refusal::new(ErrorKind::QueueTimeout));
     }
 
     fn enqueue(&mut self, now: MonoTime, arrival: SlotArrival, is_late: bool) {
@@ -328,9 +331,8 @@
             self.start(now, waiting.arrival);
             self.verdicts.push(SlotVerdict::Admitted(id));
         } else {
-            self.pace.closed(now, waiting.arrival.kind, false);
             let refusal = self.refusal(now.since(waiting.since));
-            self.verdicts.push(SlotVerdict::Refused(id, refusal));
+            self.refuse(now, &waiting.arrival, refusal);
         }
     }
 
@@ -340,10 +342,8 @@
         };
         if let Some(waiting) = self.queue.remove(id) {
             self.timers.cancel(waiting.timer);
-            self.pace.closed(now, waiting.arrival.kind, false);
-            let wait = self.expected_wait(now, self.queue.len());
-            let refusal = self.refusal(wait);
-            self.verdicts.push(SlotVerdict::Refused(id, refusal));
+            let refusal = self.refusal(self.expected_wait(now, self.queue.len()));
+            self.refuse(now, &waiting.arrival, refusal);
         }
         true
     }
--- a/crates/rhubarblanding_mesh/src/connection/backend.rs
+++ b/crates/rhubarblanding_mesh/src/connection/backend.rs
@@ -145,13 +145,13 @@
         }
     }
 
-    /// Takes an idle connection, or opens one. With `fresh` none is reused.
+    /// Takes an idle connection, or opens one.
     ///
     /// # Errors
     ///
     /// See [`ConnectError`].
-    pub async fn get(&self, addr: SocketAddr, fresh: bool) -> Result<BackendConn, ConnectError> {
-        if !fresh && !self.is_distrusted() {
+    pub async fn get(&self, addr: SocketAddr) -> Result<BackendConn, ConnectError> {
+        if !self.is_distrusted() {
             while let Some(mut conn) = self.take_idle() {
                 if conn.sender.ready().await.is_ok() {
                     return Ok(conn);
--- a/crates/rhubarblanding_mesh/src/connection/payload.rs
+++ b/crates/rhubarblanding_mesh/src/connection/payload.rs
@@ -7,12 +7,7 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-
-/// Something that must learn how a passed-on body ended.
-pub trait TailGuard: Send + 'static {
-    /// Called once: `whole` tells whether the body came to its proper end.
-    fn ended(&mut self, whole: bool);
-}
+use rhubarblanding_node::request::body::EndGuard;
 
 /// Body of an answer.
 pub enum Payload {
@@ -26,7 +21,7 @@
 pub struct Tail {
     first: VecDeque<Bytes>,
     rest: Incoming,
-    guard: Option<Box<dyn TailGuard>>,
+    guard: Option<Box<dyn EndGuard>>,
 }
 
 impl Payload {
@@ -40,13 +35,13 @@
         Self::Whole((!bytes.is_empty()).then_some(bytes))
     }
 
-    /// Body that goes on with `rest` after `first`.
-    pub fn stream(first: VecDeque<Bytes>, rest: Incoming, guard: Box<dyn TailGuard>) -> Self {
-        Self::Stream(Box::new(Tail {
-            first,
-            rest,
-            guard: Some(guard),
-        }))
+    /// Body that goes on with `rest` after `first`; `guard` learns how it ended.
+    pub fn stream(
+        first: VecDeque<Bytes>,
+        rest: Incoming,
+        guard: Option<Box<dyn EndGuard>>,
+    ) -> Self {
+        Self::Stream(Box::new(Tail { first, rest, guard }))
     }
 }
 
--- a/crates/rhubarblanding_mesh/src/process/control.rs
+++ b/crates/rhubarblanding_mesh/src/process/control.rs
@@ -6,7 +6,6 @@
 
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::sync::watch;
 
@@ -15,6 +14,7 @@
 use super::shared::Shared;
 use crate::connection::Payload;
 use crate::dialect::{ControlCall, ControlReply, InstanceLeave, InstanceLife, InstanceReport};
+use crate::request::read_logged;
 
 /// Greatest size of a call of the target, in bytes.
 const CALL_MAX_BYTES: usize = 64 * 1024;
@@ -30,15 +30,11 @@
     _: SocketAddr,
 ) -> Response<Payload> {
     let (parts, body) = req.into_parts();
-    let body = match Limited::new(body, CALL_MAX_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) => {
-            log::info!(reason:% = e; "control_call_cut");
-            return reply(
-                node.dialect
-                    .reject(StatusCode::BAD_REQUEST, "body not read"),
-            );
-        }
+    let Some(body) = read_logged(body, CALL_MAX_BYTES, "control_call_cut").await else {
+        return reply(
+            node.dialect
+                .reject(StatusCode::BAD_REQUEST, "body not read"),
+        );
     };
     let call = match node
         .dialect
--- a/crates/rhubarblanding_mesh/src/process/member.rs
+++ b/crates/rhubarblanding_mesh/src/process/member.rs
@@ -7,30 +7,24 @@
 use http::{Method, Request, Uri};
 use http_body_util::Full;
 use rhubarblanding_core::prelude::*;
-use rhubarblanding_membership::prelude::Input;
-use rhubarblanding_membership::prelude::{Event, GossipMessage, Output};
+use rhubarblanding_membership::prelude::{Event, GossipMessage, Health, Input, Output};
+use rhubarblanding_node::process::ticks;
 use tokio::sync::mpsc;
 
 use super::configuration;
 use super::shared::Shared;
 use crate::request::GOSSIP_PATH;
 
-/// Longest sleep of the loop that ticks the membership.
-const TICK_MAX: Duration = Duration::from_millis(500);
-/// Shortest sleep of the loop that ticks the membership.
-const TICK_MIN: Duration = Duration::from_millis(5);
 /// Time after which a message counts as lost.
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Ticks the membership whenever it is due; runs for as long as the process.
 pub async fn tick(node: Arc<Shared>) {
-    loop {
+    ticks::run(node.clock, || {
         node.member_input(Input::Tick);
-        let due = node.with_member(|member| member.next_due());
-        let now = node.clock.now();
-        let sleep = due.map_or(TICK_MAX, |due| now.until(due));
-        tokio::time::sleep(sleep.clamp(TICK_MIN, TICK_MAX)).await;
-    }
+        node.with_member(|member| member.next_due())
+    })
+    .await;
 }
 
 /// Carries out what the membership decides; runs for as long as the process.
@@ -66,24 +60,19 @@
     });
 }
 
+fn on_target(node: &Shared, event: &str, info: TargetInfo, health: Health) {
+    log::info!(
+        host:% = info.host, service:% = info.service, state:% = info.state,
+        slots = info.slots, incarnation = info.incarnation.0, health:% = health;
+        "{event}"
+    );
+    node.targets.upsert(info);
+}
+
 fn on_event(node: &Arc<Shared>, event: Event) {
     match event {
-        Event::TargetUp { info, health } => {
-            log::info!(
-                host:% = info.host, service:% = info.service, state:% = info.state,
-                slots = info.slots, incarnation = info.incarnation.0, health:% = health;
-                "target_up"
-            );
-            node.targets.upsert(info);
-        }
-        Event::TargetChanged { info, health } => {
-            log::info!(
-                host:% = info.host, service:% = info.service, state:% = info.state,
-                slots = info.slots, incarnation = info.incarnation.0, health:% = health;
-                "target_changed"
-            );
-            node.targets.upsert(info);
-        }
+        Event::TargetUp { info, health } => on_target(node, "target_up", info, health),
+        Event::TargetChanged { info, health } => on_target(node, "target_changed", info, health),
         Event::TargetDown {
             host,
             incarnation,
--- a/crates/rhubarblanding_mesh/src/request/forward.rs
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -13,7 +13,7 @@
 };
 use super::serve::serve_local;
 use super::small_body::{self, SmallBody};
-use crate::connection::{Payload, PeerError, TailGuard};
+use crate::connection::{Payload, PeerError};
 use crate::process::Shared;
 
 /// Sends a request to the node on `host`, which may be this one.
@@ -82,15 +82,8 @@
 async fn collect(parts: http::response::Parts, body: Incoming) -> HopOutcome {
     let payload = match small_body::read(body).await {
         Ok(SmallBody::Whole(bytes)) => Payload::whole(bytes),
-        Ok(SmallBody::Long(first, rest)) => Payload::stream(first, rest, Box::new(NoGuard)),
+        Ok(SmallBody::Long(first, rest)) => Payload::stream(first, rest, None),
         Err(_) => return HopOutcome::Lost(ErrorKind::ConnectionLost),
     };
     HopOutcome::Answered(Response::from_parts(parts, payload))
 }
-
-/// Guard of a body whose end nobody waits for.
-struct NoGuard;
-
-impl TailGuard for NoGuard {
-    fn ended(&mut self, _whole: bool) {}
-}
--- a/crates/rhubarblanding_mesh/src/request/headers.rs
+++ b/crates/rhubarblanding_mesh/src/request/headers.rs
@@ -1,33 +1,13 @@
-//! Headers that concern one connection only, and those that the nodes set for each other.
+//! Headers that concern one connection only.
 
-use http::header::{self, HeaderMap, HeaderName};
+use http::header::HeaderMap;
+use rhubarblanding_node::request::headers::strip_hop_by_hop;
 
-/// Headers that concern one connection only.
-const HOP_BY_HOP: [HeaderName; 7] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-/// Further headers that concern one connection only and have no constant.
-const HOP_BY_HOP_NAMES: [&str; 2] = ["keep-alive", "proxy-connection"];
+/// Sent by old clients to proxies in place of `connection`.
+const PROXY_CONNECTION: &str = "proxy-connection";
 
 /// Removes what concerns one connection only.
 pub(super) fn strip_connection(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
-        .collect();
-    for name in named.iter().chain(&HOP_BY_HOP) {
-        headers.remove(name);
-    }
-    for name in HOP_BY_HOP_NAMES {
-        headers.remove(name);
-    }
+    strip_hop_by_hop(headers);
+    headers.remove(PROXY_CONNECTION);
 }
--- a/crates/rhubarblanding_mesh/src/request/mod.rs
+++ b/crates/rhubarblanding_mesh/src/request/mod.rs
@@ -13,3 +13,4 @@
 pub(crate) use hop::GOSSIP_PATH;
 pub use hop::{HopHeader, HopOutcome, HopReply, HopRequest, HopResult, HopStatus, InvalidHop};
 pub use serve::{handle_peer, serve_local};
+pub(crate) use small_body::read_logged;
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -7,18 +7,19 @@
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_membership::prelude::Input;
+use rhubarblanding_node::request::body::EndGuard;
 
 use super::headers::strip_connection;
 use super::hop::{
     ANSWER_HEADER, GOSSIP_PATH, HopHeader, HopOutcome, HopReply, HopRequest, HopResult, HopStatus,
     REQUEST_HEADER,
 };
-use super::small_body::{self, SmallBody};
-use crate::connection::{BackendConn, ExchangeError, Payload, TailGuard};
+use super::small_body::{self, SmallBody, read_logged};
+use crate::connection::{BackendConn, ExchangeError, Payload};
 use crate::dialect::InstanceId;
 use crate::process::{Lineage, Shared, SlotPermit};
 
@@ -58,15 +59,8 @@
         log::warn!(path:% = parts.uri.path(); "peer_request_invalid");
         return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
     };
-    let body = match http_body_util::Limited::new(body, BODY_MAX_BYTES)
-        .collect()
-        .await
-    {
-        Ok(body) => body.to_bytes(),
-        Err(e) => {
-            log::info!(reason:% = e; "peer_request_cut");
-            return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
-        }
+    let Some(body) = read_logged(body, BODY_MAX_BYTES, "peer_request_cut").await else {
+        return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
     };
     let uri = parts
         .uri
@@ -85,15 +79,8 @@
 
 /// Takes in a message of another node's membership.
 async fn gossip(node: &Shared, body: Incoming) -> Response<Payload> {
-    let body = match http_body_util::Limited::new(body, GOSSIP_MAX_BYTES)
-        .collect()
-        .await
-    {
-        Ok(body) => body.to_bytes(),
-        Err(e) => {
-            log::info!(reason:% = e; "gossip_cut");
-            return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
-        }
+    let Some(body) = read_logged(body, GOSSIP_MAX_BYTES, "gossip_cut").await else {
+        return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
     };
     match serde_json::from_slice(&body) {
         Ok(msg) => node.member_input(Input::Message(msg)),
@@ -194,7 +181,7 @@
     let req = prepare(node, hop, &permit, deadline);
     let addr = node.settings().target_addr;
     for _ in 0..CONNECT_ATTEMPTS {
-        let mut conn = match node.backend.get(addr, false).await {
+        let mut conn = match node.backend.get(addr).await {
             Ok(conn) => conn,
             Err(e) => {
                 node.log_target_failure(id.as_ref(), &e.to_string());
@@ -287,7 +274,7 @@
                 conn: Some(conn),
                 _permit: permit.take(),
             };
-            let stream = Payload::stream(first, rest, Box::new(guard));
+            let stream = Payload::stream(first, rest, Some(Box::new(guard)));
             HopOutcome::Answered(Response::from_parts(parts, stream))
         }
         Err(e) => {
@@ -338,7 +325,7 @@
     _permit: Option<SlotPermit>,
 }
 
-impl TailGuard for TargetTail {
+impl EndGuard for TargetTail {
     fn ended(&mut self, whole: bool) {
         if let Some(conn) = self.conn.take()
             && whole
--- a/crates/rhubarblanding_mesh/src/request/small_body.rs
+++ b/crates/rhubarblanding_mesh/src/request/small_body.rs
@@ -1,9 +1,9 @@
-//! Reading of a body that is held whole if it is small.
+//! Reading of bodies that are held whole, always or if they are small.
 
 use std::collections::VecDeque;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 /// Size up to which an answer is held until it is complete, in bytes. A broken one then becomes a
@@ -34,6 +34,17 @@
     Ok(SmallBody::Long(chunks, body))
 }
 
+/// Reads a body of at most `limit` bytes; logs `event` with the reason if that fails.
+pub(crate) async fn read_logged(body: Incoming, limit: usize, event: &str) -> Option<Bytes> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Some(body.to_bytes()),
+        Err(e) => {
+            log::info!(reason:% = e; "{event}");
+            None
+        }
+    }
+}
+
 fn join(mut chunks: VecDeque<Bytes>) -> Bytes {
     if chunks.len() <= 1 {
         return chunks.pop_front().unwrap_or_default();
--- a/crates/rhubarblanding_node/src/process/member.rs
+++ b/crates/rhubarblanding_node/src/process/member.rs
@@ -1,7 +1,6 @@
 //! Loops of the membership: ticks, messages to peers, and events.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use rhubarblanding_membership::prelude::{Event as MemberEvent, GossipMessage, Input, Output};
 use tokio::sync::{mpsc, watch};
@@ -9,22 +8,16 @@
 use super::counters::Event;
 use super::documents;
 use super::shared::Shared;
+use super::ticks;
 use crate::control::method;
 
-/// Longest sleep of the loop that ticks the membership.
-const TICK_MAX: Duration = Duration::from_millis(500);
-/// Shortest sleep of the loop that ticks the membership.
-const TICK_MIN: Duration = Duration::from_millis(5);
-
 /// Ticks the membership whenever it is due; runs for as long as the process.
 pub async fn tick(node: Arc<Shared>) {
-    loop {
+    ticks::run(node.clock, || {
         node.member_input(Input::Tick);
-        let due = node.with_member(|member| member.next_due());
-        let now = node.clock.now();
-        let sleep = due.map_or(TICK_MAX, |due| now.until(due));
-        tokio::time::sleep(sleep.clamp(TICK_MIN, TICK_MAX)).await;
-    }
+        node.with_member(|member| member.next_due())
+    })
+    .await;
 }
 
 /// Carries out what the membership decides; runs for as long as the process.
--- a/crates/rhubarblanding_node/src/process/mod.rs
+++ b/crates/rhubarblanding_node/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub mod parking;
 mod phase;
 mod shared;
+pub mod ticks;
 
 pub use clock::Clock;
 pub use counters::{Counters, Event, Reporter};
