Let a member that has just started wait for the others before it relies on a confirmed stop

Its view alone could not close the epoch before, so the proposal relied on the confirmed stop of its own earlier life, and such epochs begin 30 s ahead. Change: a new life proposes such an epoch only after its view has stayed the same for 3 s. Tests (at_most_once keeper): restarted_member_waits_until_it_knows_the_others: proposed start 30 s ahead with one member before, 4 s ahead with both after; restarted_member_whose_others_are_gone_relies_on_the_confirmed_stop.

--- a/crates/rhubarblanding_once/src/keeper/io.rs
+++ b/crates/rhubarblanding_once/src/keeper/io.rs
@@ -27,6 +27,10 @@
     pub takeover_after: Duration,
     /// How long after their mint time keys are answered from records.
     pub retention: Duration,
+    /// How long a member that has just started waits for others to appear before it proposes an
+    /// epoch that relies on a confirmed stop: such an epoch begins late, and until then nobody
+    /// decides on new keys.
+    pub join_time: Duration,
     /// Greatest number of members listed in all epochs of the document together.
     pub max_listed_members: usize,
     /// Mechanisms that can be switched off to show that a test would notice.
@@ -44,6 +48,7 @@
             retry_interval: Duration::from_secs(1),
             takeover_after: Duration::from_secs(30),
             retention: Duration::from_secs(3600),
+            join_time: Duration::from_secs(3),
             max_listed_members: 8_000,
             safeguards: Safeguards::default(),
         }
--- a/crates/rhubarblanding_once/src/keeper/propose.rs
+++ b/crates/rhubarblanding_once/src/keeper/propose.rs
@@ -138,6 +138,9 @@
         if !newest.is_closed_by(|id| self.is_reachable_or_stopped(id)) {
             return;
         }
+        if self.relies_on_stop(newest) && self.is_joining(now, newest) {
+            return;
+        }
         self.delay_proposal(now);
         let members: Vec<Member> = self.view.clone();
         let proposed = table.propose(self.next_start(now, table), members);
@@ -151,8 +154,7 @@
 
     fn next_start(&self, now: Now, table: &HomeTable) -> UnixMillis {
         let newest = table.newest_active();
-        let relies_on_stop = !newest.is_closed_by(|id| self.is_in_view(id));
-        let lead = if relies_on_stop {
+        let lead = if self.relies_on_stop(newest) {
             self.settings.stopped_lead
         } else {
             self.settings.lead
@@ -160,6 +162,18 @@
         now.wall.max(self.latest_mint).max(newest.from) + lead
     }
 
+    /// Whether the view alone cannot close the newest epoch.
+    fn relies_on_stop(&self, newest: &Epoch) -> bool {
+        !newest.is_closed_by(|id| self.is_in_view(id))
+    }
+
+    /// Whether this member is a new life that may not know the others yet.
+    fn is_joining(&self, now: Now, newest: &Epoch) -> bool {
+        let is_new = newest.member(self.me.id).is_none();
+        let unchanged = self.differs_since.map(|since| now.mono.since(since));
+        is_new && unchanged < Some(self.settings.join_time)
+    }
+
     fn expired_before(&self, now: Now) -> UnixMillis {
         let retention = self.settings.retention.as_millis() as u64;
         UnixMillis(now.wall.0.saturating_sub(retention))
--- a/crates/rhubarblanding_once/tests/at_most_once/keeper.rs
+++ b/crates/rhubarblanding_once/tests/at_most_once/keeper.rs
@@ -1,8 +1,11 @@
 //! A keeper and a store that fails.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use rhubarblanding_core::ids::TableVersion;
 use rhubarblanding_once::prelude::*;
+use rhubarblanding_once::table::Epoch;
 
 use crate::common::{START, at, member, service};
 
@@ -115,3 +118,42 @@
     expect_that!(keeper.blocking_members(), is_empty());
     expect_that!(out, contains(pat!(KeeperOutput::Swap { .. })));
 }
+
+/// Epoch that the keeper of a restarted first host proposes at `millis`, if any. It knows itself
+/// from the start and the second host from `known_at` on; the table has both, by their first lives.
+fn proposed_after_restart(known_at: u64, millis: u64) -> Option<Epoch> {
+    let (own, other) = (member(0, 2, 0), member(1, 1, 1));
+    let table = HomeTable::bootstrap(service(), START, members(2)).unwrap();
+    let mut keeper = TableKeeper::new(own.clone(), service(), KeeperSettings::default());
+    keeper.handle(at(0), KeeperInput::View(vec![own.clone()]));
+    let mut out = keeper.handle(at(0), KeeperInput::Read(ReadResult::Table(table)));
+    out.extend(keeper.handle(at(0), KeeperInput::Stopped(member(0, 1, 0).id)));
+    for now in (0..=millis).step_by(500) {
+        let mut view = vec![own.clone()];
+        view.extend((now >= known_at).then(|| other.clone()));
+        out.extend(keeper.handle(at(now), KeeperInput::View(view)));
+    }
+    out.iter().find_map(|output| match output {
+        KeeperOutput::Swap { table, .. } => table.proposed().cloned(),
+        _ => None,
+    })
+}
+
+#[gtest]
+fn restarted_member_waits_until_it_knows_the_others() {
+    let proposed = proposed_after_restart(1_000, 1_000);
+    let lead = KeeperSettings::default().lead;
+    // A start that need not rely on the confirmed stop is near.
+    expect_that!(
+        proposed.map(|epoch| (epoch.from, epoch.members.len())),
+        some(eq((START + Duration::from_secs(1) + lead, 2)))
+    );
+}
+
+#[gtest]
+fn restarted_member_whose_others_are_gone_relies_on_the_confirmed_stop() {
+    let join_time = KeeperSettings::default().join_time;
+    expect_that!(proposed_after_restart(u64::MAX, 500), none());
+    let proposed = proposed_after_restart(u64::MAX, join_time.as_millis() as u64);
+    expect_that!(proposed.map(|epoch| epoch.members.len()), some(eq(1)));
+}
