Do not say of a request that ran that it did not, because a later attempt was refused

Change: the ending of the first attempt that ran is kept. If no further target answers, a failure of a target is delivered as it came, and a lost answer ends in 502 or 504. Tests (mesh): lost_answer_is_not_refused_later_as_not_run, failure_that_is_ready_is_delivered_if_no_other_target_answers: 503 before, 502 and 500 after.

--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -214,6 +214,14 @@
     Again,
 }
 
+/// How an attempt ended in which the request ran, or may have.
+enum Ran {
+    /// The target answered with a failure.
+    Failed(TargetId, Response<Payload>),
+    /// No usable answer came.
+    Lost(ErrorKind),
+}
+
 /// Attempts of one request so far.
 #[derive(Default)]
 struct Attempts {
@@ -223,6 +231,8 @@
     reached: u32,
     /// Refusal of the target asked last.
     refusal: Option<Refusal>,
+    /// Ending of the first attempt in which the request ran.
+    ran: Option<Ran>,
 }
 
 async fn serve(node: &Arc<Shared>, exchange: &Exchange) -> Response<Payload> {
@@ -240,31 +250,48 @@
                 0 => ErrorKind::QueueTimeout,
                 _ => ErrorKind::DeadlineExceeded,
             };
-            return refuse(node, exchange, Refusal::new(kind), &attempts);
+            return conclude(node, exchange, Refusal::new(kind), attempts);
         }
         let Some(target) = node.targets.pick(now, &exchange.service, &attempts.tried) else {
             let unknown = Refusal::with_retry_after(ErrorKind::NoTarget, NOT_READY_RETRY);
             let refusal = attempts.refusal.unwrap_or(unknown);
-            return refuse(node, exchange, refusal, &attempts);
+            return conclude(node, exchange, refusal, attempts);
         };
         attempts.tried.push(target.host);
         match attempt(node, exchange, target, &mut attempts).await {
-            Next::Deliver(resp) => {
-                node.log_answer(
-                    &exchange.id,
-                    &exchange.service,
-                    target,
-                    resp.status(),
-                    exchange.began,
-                );
-                return resp;
-            }
-            Next::Refuse(refusal) => return refuse(node, exchange, refusal, &attempts),
+            Next::Deliver(resp) => return deliver(node, exchange, target, resp),
+            Next::Refuse(refusal) => return conclude(node, exchange, refusal, attempts),
             Next::Again => {}
         }
     }
 }
 
+fn deliver(
+    node: &Shared,
+    exchange: &Exchange,
+    target: TargetId,
+    resp: Response<Payload>,
+) -> Response<Payload> {
+    let Exchange { id, service, .. } = exchange;
+    node.log_answer(id, service, target, resp.status(), exchange.began);
+    resp
+}
+
+/// Ends a request that no further target is asked for. One that has run gets what is known of that
+/// run: a refusal of a later attempt would say that it did not run.
+fn conclude(
+    node: &Shared,
+    exchange: &Exchange,
+    refusal: Refusal,
+    mut attempts: Attempts,
+) -> Response<Payload> {
+    match attempts.ran.take() {
+        Some(Ran::Failed(target, resp)) => deliver(node, exchange, target, resp),
+        Some(Ran::Lost(kind)) => refuse(node, exchange, Refusal::new(kind), &attempts),
+        None => refuse(node, exchange, refusal, &attempts),
+    }
+}
+
 fn refuse(
     node: &Shared,
     exchange: &Exchange,
@@ -314,7 +341,7 @@
                 // The service that failed is further down; another run would fail there too.
                 return Next::Deliver(resp);
             }
-            on_answer(node, exchange, resp, attempts)
+            on_answer(node, exchange, (target, resp), attempts)
         }
         HopOutcome::Refused(refusal) => {
             sent.finish(match refusal.kind {
@@ -343,6 +370,7 @@
                 && kind != ErrorKind::DeadlineExceeded
                 && may_send_again(node, exchange, attempts, RetryReason::Lost)
             {
+                attempts.ran.get_or_insert(Ran::Lost(kind));
                 return Next::Again;
             }
             Next::Refuse(Refusal::new(kind))
@@ -354,13 +382,17 @@
 fn on_answer(
     node: &Shared,
     exchange: &Exchange,
-    resp: Response<Payload>,
-    attempts: &Attempts,
+    (target, resp): (TargetId, Response<Payload>),
+    attempts: &mut Attempts,
 ) -> Next {
     let is_failure = resp.status().is_server_error() && resp.status().as_u16() != 504;
     let is_repeatable = exchange.route.route().idempotency == Idempotency::Idempotent;
     if is_failure && is_repeatable && may_send_again(node, exchange, attempts, RetryReason::Failed)
     {
+        // The answer of a target says more than that none came.
+        if !matches!(attempts.ran, Some(Ran::Failed(..))) {
+            attempts.ran = Some(Ran::Failed(target, resp));
+        }
         return Next::Again;
     }
     Next::Deliver(resp)
--- a/crates/rhubarblanding_mesh/tests/mesh/main.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/main.rs
@@ -93,6 +93,33 @@
     }
 }
 
+/// One target runs each request to no use, the other refuses it. Whichever is asked first, the
+/// client must not hear that a request which ran did not.
+async fn refusal_after_a_run_does_not_deny_it(first: Behaviour, status: u16) {
+    let fleet = fleet().await;
+    fleet.hosts[1].target.set(first);
+    fleet.hosts[2].target.set(Behaviour::Shed);
+    let mut ran = 0;
+    for i in 0..12 {
+        let id = format!("r{i}");
+        let (got, _, _) = fleet.request(0, "/safe/x", &id).await.expect("an answer");
+        let runs = fleet.runs_of(&id);
+        assert_that!(got.as_u16(), eq(if runs > 0 { status } else { 503 }));
+        ran += runs;
+    }
+    assert_that!(ran, gt(0));
+}
+
+#[tokio::test]
+async fn lost_answer_is_not_refused_later_as_not_run() {
+    refusal_after_a_run_does_not_deny_it(Behaviour::Lose, 502).await;
+}
+
+#[tokio::test]
+async fn failure_that_is_ready_is_delivered_if_no_other_target_answers() {
+    refusal_after_a_run_does_not_deny_it(Behaviour::Fail, 500).await;
+}
+
 /// An extra answer on a kept connection must not become the next request's answer.
 #[tokio::test]
 async fn extra_answers_belong_to_nobody() {
