Keep log lines of rare reasons beside frequent ones

Lines were bounded by event, and 400 refusals as overloaded in that second took all 40. Change: lines are bounded by event and reason; beyond 128 of these in a second, by event alone. Test: rhubarblanding_node json_lines a_rare_reason_is_not_left_out_for_a_frequent_one: 1 of 10 rare lines before, 10 after, with at most 400 lines in all as for one event.

--- a/crates/rhubarblanding_node/src/process/json_lines.rs
+++ b/crates/rhubarblanding_node/src/process/json_lines.rs
@@ -22,8 +22,13 @@
 const BATCH_TIME: Duration = Duration::from_millis(200);
 /// Batches that may wait to be written; further ones are dropped and counted.
 const BATCHES_WAITING: usize = 256;
-/// Lines of one event that are written in a second; further ones are counted.
+/// Lines of one event and reason that are written in a second; further ones are counted.
 const LINES_PER_SECOND: u32 = 40;
+/// Events and reasons that are told apart in a second; lines of others are counted by their event
+/// alone, so that reasons in free text do not lift the bound.
+const RATES_MAX: usize = 128;
+/// Field that tells lines of one event apart: rare reasons are not to be left out for frequent ones.
+const REASON: &str = "reason";
 /// Length of the time over which lines of one event are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
@@ -43,7 +48,24 @@
     batch: Vec<u8>,
     since: Instant,
     window: Instant,
-    rates: HashMap<String, EventRate>,
+    rates: HashMap<RateKey, EventRate>,
+}
+
+/// What lines are counted by.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct RateKey {
+    event: String,
+    reason: Option<String>,
+}
+
+impl RateKey {
+    fn of(event: &str, record: &Record<'_>) -> Self {
+        let reason = record.key_values().get(Key::from_str(REASON));
+        Self {
+            event: event.to_owned(),
+            reason: reason.map(|reason| reason.to_string()),
+        }
+    }
 }
 
 /// Writes records as JSON lines.
@@ -58,8 +80,8 @@
 
 /// Starts the logger of this process: JSON lines on standard output.
 ///
-/// The lines of one event are bounded in each second, warnings and errors apart; what is left out
-/// is counted in a line of its own. If standard output is not read, lines are dropped and counted.
+/// The lines of one event and reason are bounded in each second; what is left out is counted in a
+/// line of its own. If standard output is not read, lines are dropped and counted.
 ///
 /// # Errors
 ///
@@ -130,8 +152,11 @@
 }
 
 impl Pending {
-    fn admit(&mut self, event: &str) -> bool {
-        if let Some(rate) = self.rates.get_mut(event) {
+    fn admit(&mut self, mut key: RateKey) -> bool {
+        if self.rates.len() >= RATES_MAX && !self.rates.contains_key(&key) {
+            key.reason = None;
+        }
+        if let Some(rate) = self.rates.get_mut(&key) {
             if rate.written >= LINES_PER_SECOND {
                 rate.suppressed += 1;
                 return false;
@@ -143,7 +168,7 @@
             written: 1,
             suppressed: 0,
         };
-        self.rates.insert(event.to_owned(), rate);
+        self.rates.insert(key, rate);
         true
     }
 
@@ -156,9 +181,12 @@
         let rates = std::mem::take(&mut self.rates).into_iter();
         let suppressed = rates.filter(|(_, rate)| rate.suppressed > 0);
         suppressed
-            .map(|(event, rate)| {
+            .map(|(key, rate)| {
                 let mut fields = Map::new();
-                fields.insert("of".into(), event.into());
+                fields.insert("of".into(), key.event.into());
+                if let Some(reason) = key.reason {
+                    fields.insert(REASON.into(), reason.into());
+                }
                 fields.insert("count".into(), rate.suppressed.into());
                 line("lines_suppressed", Level::Info, fields)
             })
@@ -211,7 +239,7 @@
         for line in pending.end_window() {
             self.push(&mut pending, line);
         }
-        if pending.admit(&event) {
+        if pending.admit(RateKey::of(&event, record)) {
             let mut fields = Fields(Map::new());
             let _ = record.key_values().visit(&mut fields);
             self.push(&mut pending, line(&event, record.level(), fields.0));
