--- a/tools/standins/tests/relay.rs
+++ b/tools/standins/tests/relay.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use rhubarblanding_standins::relay::{Relay, RelayChange, RelaySettings};
+use rhubarblanding_standins::relay::{Direction, Relay, RelayChange, RelaySettings};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -78,3 +78,49 @@
     assert_that!(echoed(&mut conn).await, some(eq(4)));
     assert_that!(started.elapsed(), ge(Duration::from_millis(200)));
 }
+
+/// Bytes pass again on a connection that was silent, those held back included.
+async fn silent_connection_thaws(silence: RelayChange) {
+    let relay = echo_through_relay().await;
+    let mut conn = connect(&relay).await;
+    assert_that!(echoed(&mut conn).await, some(eq(4)));
+    relay.change(silence);
+    assert_that!(echoed(&mut conn).await, none());
+    relay.change(RelayChange {
+        thaw: true,
+        ..RelayChange::default()
+    });
+    assert_that!(echoed(&mut conn).await, some(eq(4)));
+}
+
+#[tokio::test]
+async fn connection_that_is_silent_towards_the_target_thaws() {
+    silent_connection_thaws(RelayChange {
+        freeze_one_way: Some(Direction::Up),
+        ..RelayChange::default()
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn connection_that_is_silent_towards_the_caller_thaws() {
+    silent_connection_thaws(RelayChange {
+        freeze_one_way: Some(Direction::Down),
+        ..RelayChange::default()
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn new_connections_can_be_silent_while_old_ones_work() {
+    let relay = echo_through_relay().await;
+    let mut old = connect(&relay).await;
+    assert_that!(echoed(&mut old).await, some(eq(4)));
+    relay.change(RelayChange {
+        freeze_new: Some(true),
+        ..RelayChange::default()
+    });
+    let mut new = connect(&relay).await;
+    assert_that!(echoed(&mut new).await, none());
+    assert_that!(echoed(&mut old).await, some(eq(4)));
+}
