Send the whole deadline with a request of the load generator, and ask again after a refusal

The node's deadline and the caller's departure fell on the same millisecond, so that some callers were answered deadline_exceeded before they left; their work was rightly cancelled as well.

Change: the deadline header holds what is left of the kind's deadline; the patience ends the attempt. The test of callers that leave now also demands that nothing ended at its deadline and that what was begun and not completed was cancelled, one for one. The test over one connection sends what was refused as not run again when the refusal says, and demands 200 of 200 whole answers as before.

--- a/tests/process/whole_answers.rs
+++ b/tests/process/whole_answers.rs
@@ -9,7 +9,8 @@
 use rhubarblanding_core::error::RunState;
 use rhubarblanding_standins::answer::{self, DEFAULT_ANSWER_BYTES};
 use rhubarblanding_standins::backend::LoadAnswer;
-use rhubarblanding_standins::http::{client, get_json};
+use rhubarblanding_standins::headers;
+use rhubarblanding_standins::http::{client, get_json, header_number, header_text};
 use rhubarblanding_standins::load::{Caller, Ending, Identity, Outcome, Refused, Report, Route};
 use rhubarblanding_standins::process::{
     ClusterPlan, Host, ServiceSettings, Signal, free_addresses, wait_until,
@@ -324,12 +325,16 @@
         })
         .await
         .unwrap();
-        let mut cancelled = 0;
+        let (mut unfinished, mut cancelled) = (0, 0);
         for host in &bench.cluster.hosts {
-            cancelled += host.backend().counters().await.unwrap().cancelled;
+            let counters = host.backend().counters().await.unwrap();
+            unfinished += counters.started - counters.completed;
+            cancelled += counters.cancelled;
         }
-        println!("gone {gone}, cancelled {cancelled}");
-        assert_that!(cancelled, all![gt(0), le(gone)]);
+        println!("gone {gone}, unfinished {unfinished}, cancelled {cancelled}");
+        assert_that!(cancelled, all![gt(0), le(gone), eq(unfinished)]);
+        // Nobody but the callers ended a request early: their deadline was far off.
+        assert_that!(ended_with(&report, "deadline_exceeded"), eq(0));
         // All slots of the nodes are free again.
         let kind = "read=GET,archives,/stock,1,1";
         let report = load_once(&bench, kind, 50.0, 1.0).await;
@@ -387,8 +392,25 @@
     (0..count).map(draw).collect()
 }
 
-/// Sends a request and checks each byte of its answer.
-async fn send(mut requests: Requests, authority: SocketAddr, req: Numbered) -> (usize, Came) {
+/// Sends a request and checks each byte of its answer. A request that was refused without having
+/// run is sent again when the refusal says.
+async fn send(requests: Requests, authority: SocketAddr, req: Numbered) -> (usize, Came) {
+    loop {
+        match attempt(requests.clone(), authority, req).await {
+            Ok(came) => return (req.number, came),
+            Err(ComeBack(pause)) => tokio::time::sleep(pause).await,
+        }
+    }
+}
+
+/// The request did not run; it may be sent again after the pause.
+struct ComeBack(Duration);
+
+async fn attempt(
+    mut requests: Requests,
+    authority: SocketAddr,
+    req: Numbered,
+) -> Result<Came, ComeBack> {
     let Numbered { bytes, number, .. } = req;
     let id = format!("numbered-{number}");
     let query = format!("bytes={bytes}&ms={}", req.service_ms);
@@ -398,16 +420,27 @@
         .body(http_body_util::Full::default())
         .unwrap();
     let Ok(resp) = requests.send_request(http).await else {
-        return (number, Came::Failed);
+        return Ok(Came::Failed);
     };
+    if let Some(pause) = not_run(resp.headers()) {
+        println!("{id} is refused for {pause:?}");
+        return Err(ComeBack(pause));
+    }
     if resp.status() != http::StatusCode::OK {
-        return (number, Came::Failed);
+        return Ok(Came::Failed);
     }
     let Ok(body) = http_body_util::BodyExt::collect(resp.into_body()).await else {
-        return (number, Came::Failed);
+        return Ok(Came::Failed);
     };
     let whole = body.to_bytes() == answer::whole(&id, "/stock", bytes);
-    (number, if whole { Came::Whole } else { Came::Wrong })
+    Ok(if whole { Came::Whole } else { Came::Wrong })
+}
+
+/// Pause that a refusal of a request that did not run asks for.
+fn not_run(map: &http::HeaderMap) -> Option<Duration> {
+    let state: RunState = header_text(map, headers::RUN_STATE)?.parse().ok()?;
+    let pause = header_number(map, headers::RETRY_AFTER_MS)?;
+    (state == RunState::NotRun).then(|| Duration::from_millis(pause))
 }
 
 /// Answers in the order in which they came; each second caller of `impatient` goes away early.
--- a/tools/standins/src/load/client.rs
+++ b/tools/standins/src/load/client.rs
@@ -69,8 +69,9 @@
         let mut attempts = Vec::new();
         loop {
             let sent = Instant::now();
-            let left = limit.saturating_sub(started.elapsed()).min(cfg.timeout);
-            let received = tokio::time::timeout(left, self.attempt(cfg, kind, identity, left))
+            let left = limit.saturating_sub(started.elapsed());
+            let patience = left.min(cfg.timeout);
+            let received = tokio::time::timeout(patience, self.attempt(cfg, kind, identity, left))
                 .await
                 .unwrap_or_else(|_| Ending::Timeout.into());
             let done = received.ending == Ending::Completed;
