Choose targets by the share of requests that their backend servers reject as well

Cause: a backend server that rejects requests at once, although its node gave them a slot, has few requests at it and so the least utilisation. Two random choices by utilisation prefer it, and so does the choice within a zone. TargetOutcome::Refused said nothing of it, since it stood for the refusal of the node as well.

Ruled out: full servers (few `turned_away`); retries, whose bound is kept; ejection, which would take what such a server still runs.

Change: an outcome of its own for a rejection.

--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -354,7 +354,7 @@
             on_refused(refusal, attempts)
         }
         HopOutcome::Shed(refusal) => {
-            sent.finish(TargetOutcome::Refused);
+            sent.finish(TargetOutcome::Rejected);
             attempts.reached += 1;
             attempts.refusal = Some(refusal);
             if may_send_again(node, exchange, attempts, RetryReason::Shed) {
--- a/crates/rhubarblanding_node/src/request/dispatch.rs
+++ b/crates/rhubarblanding_node/src/request/dispatch.rs
@@ -251,6 +251,7 @@
             ErrorKind::ConnectFailed | ErrorKind::ConnectionLost | ErrorKind::Internal => {
                 TargetOutcome::Failed
             }
+            ErrorKind::BackendShed => TargetOutcome::Rejected,
             _ => TargetOutcome::Refused,
         });
         return PeerAnswer::Refused(refusal);
--- a/crates/rhubarblanding_routing/src/router/state.rs
+++ b/crates/rhubarblanding_routing/src/router/state.rs
@@ -9,6 +9,13 @@
 use crate::target::health::HealthChange;
 use crate::target::{Target, TargetId, TargetOutcome};
 
+/// Targets that are drawn at most for one choice: even if four of five reject requests, one that
+/// does not is among them in nine of ten cases.
+const DRAWS_MAX: usize = 12;
+/// Share of rejected requests from which a target counts as rejecting. Two requests in a row exceed
+/// it.
+const REJECTING_SHARE: f64 = 0.1;
+
 /// What is asked of [`Router::pick`].
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PickRequest<'a> {
@@ -22,6 +29,8 @@
 struct Candidate {
     key: TargetKey,
     utilisation: f64,
+    /// Whether its backend server rejects a part of the requests.
+    rejects: bool,
 }
 
 /// Targets of one service.
@@ -221,6 +230,8 @@
         self.index.failing() <= most
     }
 
+    /// The less utilised of two random targets. While the better one rejects requests, others are
+    /// drawn as well, since most targets may do so.
     fn better_of_two(
         &self,
         now: MonoTime,
@@ -230,17 +241,20 @@
     ) -> Option<Candidate> {
         let eligible = |key| self.is_eligible(now, key, exclude);
         let first = draw(rng, list, eligible)?;
-        let first = self.candidate(now, first);
-        let second = draw(rng, list, |key| key != first.key && eligible(key));
-        let Some(second) = second else {
-            return Some(first);
-        };
-        let second = self.candidate(now, second);
-        Some(if second.utilisation < first.utilisation {
-            second
-        } else {
-            first
-        })
+        let mut best = self.candidate(now, first);
+        for drawn in 1..DRAWS_MAX {
+            if drawn >= 2 && !best.rejects {
+                break;
+            }
+            let Some(other) = draw(rng, list, |key| key != best.key && eligible(key)) else {
+                break;
+            };
+            let other = self.candidate(now, other);
+            if other.utilisation < best.utilisation {
+                best = other;
+            }
+        }
+        Some(best)
     }
 
     fn is_eligible(&self, now: MonoTime, key: TargetKey, exclude: &[HostId]) -> bool {
@@ -253,10 +267,16 @@
         let target = &self.targets[key];
         let cold_share = self.settings.cold_share;
         let mut utilisation = target.utilisation(now, self.settings.slow_start, cold_share);
+        let rejected_share = target.rejected_share(now);
+        utilisation += self.settings.reject_penalty * rejected_share;
         if target.is_failing() && !target.is_probe_due(now) {
             utilisation += self.settings.failing_penalty;
         }
-        Candidate { key, utilisation }
+        Candidate {
+            key,
+            utilisation,
+            rejects: rejected_share >= REJECTING_SHARE,
+        }
     }
 
     fn id(&self, candidate: Candidate) -> Option<TargetId> {
--- a/crates/rhubarblanding_routing/src/target/health.rs
+++ b/crates/rhubarblanding_routing/src/target/health.rs
@@ -79,7 +79,9 @@
 
     pub(super) fn finished(&mut self, now: MonoTime, outcome: TargetOutcome) -> HealthChange {
         match outcome {
-            TargetOutcome::Refused | TargetOutcome::Cancelled => self.end_probe(),
+            TargetOutcome::Refused | TargetOutcome::Rejected | TargetOutcome::Cancelled => {
+                self.end_probe();
+            }
             TargetOutcome::Answered => return self.succeeded(now),
             TargetOutcome::Silent => return self.failed(now, 1),
             TargetOutcome::ConnectFailed | TargetOutcome::ConnectionLost => {
--- a/crates/rhubarblanding_routing/src/target/mod.rs
+++ b/crates/rhubarblanding_routing/src/target/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod health;
 mod load;
+mod rejects;
 mod state;
 
 pub(crate) use state::Target;
@@ -24,8 +25,10 @@
 pub enum TargetOutcome {
     /// An answer came.
     Answered,
-    /// The target refused it; this tells nothing about its health.
+    /// The target's node refused it; this tells nothing about its health.
     Refused,
+    /// The backend server rejected it without running it.
+    Rejected,
     /// The caller gave up; this tells nothing about the target's health.
     Cancelled,
     /// The backend server answered with a failure of its own.
--- a/crates/rhubarblanding_routing/src/target/state.rs
+++ b/crates/rhubarblanding_routing/src/target/state.rs
@@ -6,6 +6,7 @@
 
 use super::health::{Health, HealthChange};
 use super::load::Load;
+use super::rejects::Rejects;
 use super::{TargetId, TargetOutcome};
 
 /// Time of failing after which a recovered target counts as cold.
@@ -19,6 +20,7 @@
     warming_since: MonoTime,
     load: Load,
     health: Health,
+    rejects: Rejects,
 }
 
 impl Target {
@@ -29,6 +31,7 @@
             warming_since: now,
             load: Load::default(),
             health: Health::new(),
+            rejects: Rejects::new(now),
         }
     }
 
@@ -92,6 +95,11 @@
 
     pub(crate) fn finished(&mut self, now: MonoTime, outcome: TargetOutcome) -> HealthChange {
         self.load.finished();
+        match outcome {
+            TargetOutcome::Rejected => self.rejects.record(now, true),
+            TargetOutcome::Answered | TargetOutcome::Failed => self.rejects.record(now, false),
+            _ => {}
+        }
         let change = self.health.finished(now, outcome);
         if let HealthChange::Recovered(after) = change
             && after >= COLD_AFTER
@@ -107,6 +115,11 @@
         self.load.observe(now, report);
     }
 
+    /// Share of its requests that the backend server rejects, from 0 to 1.
+    pub(crate) fn rejected_share(&self, now: MonoTime) -> f64 {
+        self.rejects.share(now)
+    }
+
     /// Requests at the target with one more, as a multiple of what it takes at present.
     ///
     /// What a target takes grows from `cold_share` to its limit within `slow_start`.
--- a/crates/rhubarblanding_routing/tests/router/model.rs
+++ b/crates/rhubarblanding_routing/tests/router/model.rs
@@ -71,6 +71,7 @@
     prop_oneof![
         6 => Just(TargetOutcome::Answered),
         1 => Just(TargetOutcome::Refused),
+        1 => Just(TargetOutcome::Rejected),
         1 => Just(TargetOutcome::Cancelled),
         1 => Just(TargetOutcome::Failed),
         2 => Just(TargetOutcome::ConnectFailed),
--- a/crates/rhubarblanding_routing/tests/router/world.rs
+++ b/crates/rhubarblanding_routing/tests/router/world.rs
@@ -239,7 +239,10 @@
         self.router.finished(self.now, id, outcome);
         let answered = matches!(
             outcome,
-            TargetOutcome::Answered | TargetOutcome::Refused | TargetOutcome::Failed
+            TargetOutcome::Answered
+                | TargetOutcome::Refused
+                | TargetOutcome::Rejected
+                | TargetOutcome::Failed
         );
         let same_life = id.incarnation == self.truth[host].incarnation;
         if answered && same_life {
