Choose targets by the share of requests that their backend servers fail as well

Cause: the health of a target has a threshold at half of its requests and is reset by one answer. A backend server that fails a third, or half, of its requests mostly counts as healthy, and each failure of a request that may not run twice is final.

Ruled out: the ejection by consecutive failures does not help at these shares, and none is ejected if most targets fail.

Change: the moving share that is added to a target's utilisation counts failures of the backend server like rejections. It is named after what it holds now. A failure of a call further down still counts as an answer of the target.

Tests: tests/unserved.rs (rejecting.rs before).

--- a/crates/rhubarblanding_routing/src/router/settings.rs
+++ b/crates/rhubarblanding_routing/src/router/settings.rs
@@ -31,10 +31,10 @@
     pub ejected_max_percent: u32,
     /// Utilisation that is added to a failing target that is not ejected.
     pub failing_penalty: f64,
-    /// Utilisation that is added to a target whose backend server rejects every request, and in
-    /// proportion for a share of them: a rejection costs an attempt and one of few retries, a
-    /// queue of as many requests as there are slots only the time of one.
-    pub reject_penalty: f64,
+    /// Utilisation that is added to a target whose backend server rejects or fails every request,
+    /// and in proportion for a share of them: that costs an attempt and one of few retries or the
+    /// request, a queue of as many requests as there are slots only the time of one.
+    pub unserved_penalty: f64,
     /// When draining targets are chosen.
     pub draining: DrainingUse,
 }
@@ -48,7 +48,7 @@
             cold_share: 0.1,
             ejected_max_percent: 50,
             failing_penalty: 1_000.0,
-            reject_penalty: 2.0,
+            unserved_penalty: 2.0,
             draining: DrainingUse::Never,
         }
     }
--- a/crates/rhubarblanding_routing/src/router/state.rs
+++ b/crates/rhubarblanding_routing/src/router/state.rs
@@ -9,12 +9,12 @@
 use crate::target::health::HealthChange;
 use crate::target::{Target, TargetId, TargetOutcome};
 
-/// Targets that are drawn at most for one choice: even if four of five reject requests, one that
-/// does not is among them in nine of ten cases.
+/// Targets that are drawn at most for one choice: even if four of five are unreliable, one that is
+/// not is among them in nine of ten cases.
 const DRAWS_MAX: usize = 12;
-/// Share of rejected requests from which a target counts as rejecting. Two requests in a row exceed
-/// it.
-const REJECTING_SHARE: f64 = 0.1;
+/// Share of requests rejected or failed from which a target counts as unreliable. Two of them in a
+/// row exceed it.
+const UNRELIABLE_SHARE: f64 = 0.1;
 
 /// What is asked of [`Router::pick`].
 #[derive(Clone, Copy, Debug, Default)]
@@ -29,8 +29,8 @@
 struct Candidate {
     key: TargetKey,
     utilisation: f64,
-    /// Whether its backend server rejects a part of the requests.
-    rejects: bool,
+    /// Whether its backend server rejects or fails a part of the requests.
+    is_unreliable: bool,
 }
 
 /// Targets of one service.
@@ -230,8 +230,8 @@
         self.index.failing() <= most
     }
 
-    /// The less utilised of two random targets. While the better one rejects requests, others are
-    /// drawn as well, since most targets may do so.
+    /// The less utilised of two random targets. While the better one is unreliable, others are
+    /// drawn as well, since most targets may be.
     fn better_of_two(
         &self,
         now: MonoTime,
@@ -243,7 +243,7 @@
         let first = draw(rng, list, eligible)?;
         let mut best = self.candidate(now, first);
         for drawn in 1..DRAWS_MAX {
-            if drawn >= 2 && !best.rejects {
+            if drawn >= 2 && !best.is_unreliable {
                 break;
             }
             let Some(other) = draw(rng, list, |key| key != best.key && eligible(key)) else {
@@ -267,15 +267,15 @@
         let target = &self.targets[key];
         let cold_share = self.settings.cold_share;
         let mut utilisation = target.utilisation(now, self.settings.slow_start, cold_share);
-        let rejected_share = target.rejected_share(now);
-        utilisation += self.settings.reject_penalty * rejected_share;
+        let unserved_share = target.unserved_share(now);
+        utilisation += self.settings.unserved_penalty * unserved_share;
         if target.is_failing() && !target.is_probe_due(now) {
             utilisation += self.settings.failing_penalty;
         }
         Candidate {
             key,
             utilisation,
-            rejects: rejected_share >= REJECTING_SHARE,
+            is_unreliable: unserved_share >= UNRELIABLE_SHARE,
         }
     }
 
--- a/crates/rhubarblanding_routing/src/target/mod.rs
+++ b/crates/rhubarblanding_routing/src/target/mod.rs
@@ -2,8 +2,8 @@
 
 pub(crate) mod health;
 mod load;
-mod rejects;
 mod state;
+mod unserved;
 
 pub(crate) use state::Target;
 
--- a/crates/rhubarblanding_routing/src/target/state.rs
+++ b/crates/rhubarblanding_routing/src/target/state.rs
@@ -6,7 +6,7 @@
 
 use super::health::{Health, HealthChange};
 use super::load::Load;
-use super::rejects::Rejects;
+use super::unserved::Unserved;
 use super::{TargetId, TargetOutcome};
 
 /// Time of failing after which a recovered target counts as cold.
@@ -20,7 +20,7 @@
     warming_since: MonoTime,
     load: Load,
     health: Health,
-    rejects: Rejects,
+    unserved: Unserved,
 }
 
 impl Target {
@@ -31,7 +31,7 @@
             warming_since: now,
             load: Load::default(),
             health: Health::new(),
-            rejects: Rejects::new(now),
+            unserved: Unserved::new(now),
         }
     }
 
@@ -96,8 +96,8 @@
     pub(crate) fn finished(&mut self, now: MonoTime, outcome: TargetOutcome) -> HealthChange {
         self.load.finished();
         match outcome {
-            TargetOutcome::Rejected => self.rejects.record(now, true),
-            TargetOutcome::Answered | TargetOutcome::Failed => self.rejects.record(now, false),
+            TargetOutcome::Answered => self.unserved.record(now, true),
+            TargetOutcome::Rejected | TargetOutcome::Failed => self.unserved.record(now, false),
             _ => {}
         }
         let change = self.health.finished(now, outcome);
@@ -115,9 +115,9 @@
         self.load.observe(now, report);
     }
 
-    /// Share of its requests that the backend server rejects, from 0 to 1.
-    pub(crate) fn rejected_share(&self, now: MonoTime) -> f64 {
-        self.rejects.share(now)
+    /// Share of its requests that the backend server rejects or fails, from 0 to 1.
+    pub(crate) fn unserved_share(&self, now: MonoTime) -> f64 {
+        self.unserved.share(now)
     }
 
     /// Requests at the target with one more, as a multiple of what it takes at present.
--- a/crates/rhubarblanding_routing/src/target/rejects.rs
+++ b/crates/rhubarblanding_routing/src/target/unserved.rs
@@ -1,6 +1,7 @@
-//! Share of its requests that the backend server of a target rejects.
+//! Share of its requests that the backend server of a target rejects or fails.
 //!
-//! A backend server that rejects at once looks idle. Without this share it would be chosen for that.
+//! A backend server that rejects or fails at once looks idle. Without this share it would be chosen
+//! for that.
 
 use std::time::Duration;
 
@@ -14,12 +15,12 @@
 
 /// Moving average over the requests that reached the backend server.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Rejects {
+pub(super) struct Unserved {
     share: f64,
     at: MonoTime,
 }
 
-impl Rejects {
+impl Unserved {
     pub(super) fn new(now: MonoTime) -> Self {
         Self {
             share: 0.0,
@@ -27,15 +28,15 @@
         }
     }
 
-    /// Records whether a request was rejected.
-    pub(super) fn record(&mut self, now: MonoTime, rejected: bool) {
+    /// Records a request that was served or not.
+    pub(super) fn record(&mut self, now: MonoTime, served: bool) {
         let share = self.share(now);
-        let sample = if rejected { 1.0 } else { 0.0 };
+        let sample = if served { 0.0 } else { 1.0 };
         self.share = share + (sample - share) / DIVISOR;
         self.at = now;
     }
 
-    /// Share of the requests that is rejected, from 0 to 1.
+    /// Share of the requests that is not served, from 0 to 1.
     pub(super) fn share(&self, now: MonoTime) -> f64 {
         let age = now.since(self.at).as_secs_f64();
         self.share * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
--- a/crates/rhubarblanding_routing/tests/rejecting.rs
+++ b/crates/rhubarblanding_routing/tests/unserved.rs
@@ -1,4 +1,5 @@
-//! Load on a service of which some backend servers reject most requests at once and so look idle.
+//! Load on a service of which some backend servers reject requests at once, and so look idle, or fail
+//! them.
 
 #![expect(clippy::unwrap_used, reason = "a test panics where its set-up fails")]
 
@@ -23,7 +24,16 @@
 /// Retries for each hundred requests.
 const RETRIES_PERCENT: u64 = 20;
 
-/// A target whose backend server rejects a share of the requests while it is `bad`.
+/// What a bad backend server does with a part of the requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    /// It rejects them at once; they may be sent again.
+    Rejects,
+    /// It runs and fails them; they may not be sent again.
+    Fails,
+}
+
+/// A target.
 struct Server {
     info: TargetInfo,
     is_bad: bool,
@@ -43,14 +53,16 @@
 enum Event {
     Answered(Sent),
     Rejected(Sent),
+    Failed(Sent),
 }
 
-/// Requests offered and served, attempts that were rejected, and retries.
+/// Requests offered and served, attempts that were rejected or failed, and retries.
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
     offered: u64,
     served: u64,
     rejected: u64,
+    failed: u64,
     retries: u64,
 }
 
@@ -59,7 +71,9 @@
     rng: SmallRng,
     servers: Vec<Server>,
     due: BinaryHeap<Reverse<(u64, Event)>>,
-    reject_percent: u32,
+    fault: Fault,
+    /// Share of its requests that a bad backend server rejects or fails.
+    fault_percent: u32,
     counts: Counts,
 }
 
@@ -80,7 +94,7 @@
 }
 
 impl World {
-    fn new(servers: usize, bad: usize, reject_percent: u32) -> Self {
+    fn new(servers: usize, bad: usize, fault: Fault, fault_percent: u32) -> Self {
         let mut router = Router::new(RouterSettings::default());
         let servers: Vec<Server> = (0..servers).map(|index| server(index, bad)).collect();
         for server in &servers {
@@ -91,7 +105,8 @@
             rng: SmallRng::seed_from_u64(SEED),
             servers,
             due: BinaryHeap::new(),
-            reject_percent,
+            fault,
+            fault_percent,
             counts: Counts::default(),
         }
     }
@@ -141,10 +156,11 @@
     fn start(&mut self, now: u64, sent: Sent) {
         let server = &mut self.servers[sent.server];
         server.busy += 1;
-        let rejects = server.is_bad && self.rng.random_range(0..100) < self.reject_percent;
-        let (after, event) = match rejects {
-            true => (REJECTION, Event::Rejected(sent)),
-            false => (HOLD, Event::Answered(sent)),
+        let is_hit = server.is_bad && self.rng.random_range(0..100) < self.fault_percent;
+        let (after, event) = match (is_hit, self.fault) {
+            (true, Fault::Rejects) => (REJECTION, Event::Rejected(sent)),
+            (true, Fault::Fails) => (HOLD, Event::Failed(sent)),
+            (false, _) => (HOLD, Event::Answered(sent)),
         };
         self.due.push(Reverse((now + after, event)));
     }
@@ -153,6 +169,7 @@
         let (sent, outcome) = match event {
             Event::Answered(sent) => (sent, TargetOutcome::Answered),
             Event::Rejected(sent) => (sent, TargetOutcome::Rejected),
+            Event::Failed(sent) => (sent, TargetOutcome::Failed),
         };
         self.servers[sent.server].busy -= 1;
         if !self.servers[sent.server].queue.is_empty() {
@@ -179,6 +196,7 @@
         self.router.observe(time, id, report);
         match outcome {
             TargetOutcome::Answered => self.counts.served += 1,
+            TargetOutcome::Failed => self.counts.failed += 1,
             TargetOutcome::Rejected => {
                 self.counts.rejected += 1;
                 let may_retry = self.counts.retries * 100 < self.counts.offered * RETRIES_PERCENT;
@@ -192,33 +210,38 @@
     }
 }
 
-/// Whoever knew which targets reject would send what the others can hold to those alone, so that
-/// every request would be served.
-fn requests_go_where_they_are_served(servers: usize, bad: usize, reject_percent: u32) {
+/// Whoever knew the bad targets would send what the others can hold to those alone, so that every
+/// request would be served.
+fn requests_go_where_they_are_served(servers: usize, bad: usize, fault: Fault, percent: u32) {
     let capacity = (servers - bad) as f64 * f64::from(SLOTS) * 1_000.0 / HOLD as f64;
-    let counts = World::new(servers, bad, reject_percent).run(3_000..8_000, 0.85 * capacity);
+    let counts = World::new(servers, bad, fault, percent).run(3_000..8_000, 0.85 * capacity);
     println!("{counts:?}");
     assert_that!(counts.offered, gt(1_000));
     assert_that!(counts.served * 100, ge(counts.offered * 90));
 }
 
+use Fault::{Fails, Rejects};
+
 rhubarblanding_core::cases! {
     requests_go_where_they_are_served;
-    none_reject: (3, 0, 0);
-    one_of_two_rejects: (2, 1, 60);
-    three_of_four_reject_most: (4, 3, 60);
-    three_of_four_reject_nearly_all: (4, 3, 95);
-    six_of_eight_reject_most: (8, 6, 60);
+    all_are_good: (3, 0, Rejects, 0);
+    one_of_two_rejects: (2, 1, Rejects, 60);
+    three_of_four_reject_most: (4, 3, Rejects, 60);
+    three_of_four_reject_nearly_all: (4, 3, Rejects, 95);
+    six_of_eight_reject_most: (8, 6, Rejects, 60);
+    one_of_two_fails_a_third: (2, 1, Fails, 33);
+    two_of_four_fail_most: (4, 2, Fails, 60);
+    six_of_eight_fail_half: (8, 6, Fails, 50);
 }
 
 /// A target that is right again gets its share back.
 #[test]
 fn what_no_longer_rejects_is_used() {
     let capacity = f64::from(SLOTS) * 1_000.0 / HOLD as f64;
-    let mut world = World::new(2, 1, 95);
+    let mut world = World::new(2, 1, Rejects, 95);
     let before = world.run(3_000..5_000, 0.85 * capacity);
     assert_that!(before.rejected, gt(0));
-    world.reject_percent = 0;
+    world.fault_percent = 0;
     let after = world.run(5_000..10_000, 0.85 * 2.0 * capacity);
     println!("{after:?}");
     assert_that!(after.served * 100, ge(after.offered * 90));
