Log what requests change in a node's judgement of a target

Cause: ejection and recovery of a target, and now its reliability, decide where requests go, but no line told of them: the mesh dropped what the router knew. On-call engineers saw `target_up` and `target_down` of the membership only. Found while asking which line would show that a target is avoided for its rejections.

Change: Router::finished returns the judgement that an outcome changed (failing, recovered, unreliable, reliable); the mesh writes `target_judged` with the outcome, the share not served, the number of ejected targets and of known ones.

--- a/crates/rhubarblanding_mesh/src/process/targets.rs
+++ b/crates/rhubarblanding_mesh/src/process/targets.rs
@@ -8,10 +8,11 @@
 use rhubarblanding_node::process::Clock;
 use rhubarblanding_node::process::parking::{Mutex, lock};
 use rhubarblanding_routing::prelude::{
-    PickRequest, Router, RouterSettings, TargetId, TargetOutcome,
+    Judgement, PickRequest, Router, RouterSettings, TargetId, TargetOutcome,
 };
 
 struct Shard {
+    service: ServiceName,
     router: Router,
     rng: SmallRng,
 }
@@ -40,12 +41,27 @@
     }
 }
 
+impl Sent {
+    fn log(&self, now: MonoTime, shard: &Shard, judgement: Judgement) {
+        let router = &shard.router;
+        let unserved = (router.unserved_share(now, self.target) * 100.0).round() as u32;
+        log::info!(
+            reason:% = judgement, outcome:% = self.outcome, service:% = shard.service,
+            host:% = self.target.host, incarnation = self.target.incarnation.0,
+            unserved_percent = unserved, ejected = router.ejected_len(),
+            known_targets = router.serving_len();
+            "target_judged"
+        );
+    }
+}
+
 impl Drop for Sent {
     fn drop(&mut self) {
         let now = self.clock.now();
-        lock(&self.shard)
-            .router
-            .finished(now, self.target, self.outcome);
+        let mut shard = lock(&self.shard);
+        if let Some(judgement) = shard.router.finished(now, self.target, self.outcome) {
+            self.log(now, &shard, judgement);
+        }
     }
 }
 
@@ -117,6 +133,7 @@
             return Arc::clone(shard);
         }
         let shard = Shard {
+            service: service.clone(),
             router: Router::new(self.settings.clone()),
             rng: SmallRng::seed_from_u64(self.seed ^ services.len() as u64),
         };
--- a/crates/rhubarblanding_routing/src/router/state.rs
+++ b/crates/rhubarblanding_routing/src/router/state.rs
@@ -6,16 +6,11 @@
 
 use super::index::{Index, TargetKey, draw};
 use super::{DrainingUse, RouterSettings};
-use crate::target::health::HealthChange;
-use crate::target::{Target, TargetId, TargetOutcome};
+use crate::target::{Judgement, Target, TargetId, TargetOutcome};
 
 /// Targets that are drawn at most for one choice: even if four of five are unreliable, one that is
 /// not is among them in nine of ten cases.
 const DRAWS_MAX: usize = 12;
-/// Share of requests rejected or failed from which a target counts as unreliable. Two of them in a
-/// row exceed it.
-const UNRELIABLE_SHARE: f64 = 0.1;
-
 /// What is asked of [`Router::pick`].
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PickRequest<'a> {
@@ -179,14 +174,25 @@
         }
     }
 
-    /// Records how a request that was started ended.
-    pub fn finished(&mut self, now: MonoTime, id: TargetId, outcome: TargetOutcome) {
-        let Some(target) = self.target_mut(id) else {
-            return;
-        };
-        if target.finished(now, outcome) != HealthChange::None {
+    /// Records how a request that was started ended, and returns what that changes.
+    pub fn finished(
+        &mut self,
+        now: MonoTime,
+        id: TargetId,
+        outcome: TargetOutcome,
+    ) -> Option<Judgement> {
+        let judgement = self.target_mut(id)?.finished(now, outcome);
+        if matches!(judgement, Some(Judgement::Failing | Judgement::Recovered)) {
             self.rebuild();
         }
+        judgement
+    }
+
+    /// Share of its requests that a target's backend server rejects or fails, from 0 to 1.
+    pub fn unserved_share(&self, now: MonoTime, id: TargetId) -> f64 {
+        let key = self.by_host.get(&id.host);
+        let target = key.and_then(|key| self.targets.get(*key));
+        target.map_or(0.0, |target| target.unserved_share(now))
     }
 
     /// Records the report that an answer of a target carried.
@@ -267,15 +273,14 @@
         let target = &self.targets[key];
         let cold_share = self.settings.cold_share;
         let mut utilisation = target.utilisation(now, self.settings.slow_start, cold_share);
-        let unserved_share = target.unserved_share(now);
-        utilisation += self.settings.unserved_penalty * unserved_share;
+        utilisation += self.settings.unserved_penalty * target.unserved_share(now);
         if target.is_failing() && !target.is_probe_due(now) {
             utilisation += self.settings.failing_penalty;
         }
         Candidate {
             key,
             utilisation,
-            is_unreliable: unserved_share >= UNRELIABLE_SHARE,
+            is_unreliable: target.is_unreliable(),
         }
     }
 
--- a/crates/rhubarblanding_routing/src/target/mod.rs
+++ b/crates/rhubarblanding_routing/src/target/mod.rs
@@ -19,6 +19,20 @@
     pub incarnation: Incarnation,
 }
 
+/// What a node came to think of a target when a request at it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Judgement {
+    /// It fails: it is ejected, unless too many targets fail.
+    Failing,
+    /// It answers again after it was failing.
+    Recovered,
+    /// Its backend server rejects or fails a part of the requests: others are preferred.
+    Unreliable,
+    /// Its backend server serves nearly every request again.
+    Reliable,
+}
+
 /// How a request at a target ended, as far as it tells the health of the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/rhubarblanding_routing/src/target/state.rs
+++ b/crates/rhubarblanding_routing/src/target/state.rs
@@ -7,7 +7,7 @@
 use super::health::{Health, HealthChange};
 use super::load::Load;
 use super::unserved::Unserved;
-use super::{TargetId, TargetOutcome};
+use super::{Judgement, TargetId, TargetOutcome};
 
 /// Time of failing after which a recovered target counts as cold.
 const COLD_AFTER: Duration = Duration::from_secs(1);
@@ -93,20 +93,25 @@
         self.health.started(now);
     }
 
-    pub(crate) fn finished(&mut self, now: MonoTime, outcome: TargetOutcome) -> HealthChange {
+    /// Records how a request ended, and returns what that changes. A change of the health is told
+    /// before one of the reliability.
+    pub(crate) fn finished(&mut self, now: MonoTime, outcome: TargetOutcome) -> Option<Judgement> {
         self.load.finished();
-        match outcome {
+        let reliability = match outcome {
             TargetOutcome::Answered => self.unserved.record(now, true),
             TargetOutcome::Rejected | TargetOutcome::Failed => self.unserved.record(now, false),
-            _ => {}
-        }
-        let change = self.health.finished(now, outcome);
-        if let HealthChange::Recovered(after) = change
-            && after >= COLD_AFTER
-        {
-            self.warming_since = now;
+            _ => None,
+        };
+        match self.health.finished(now, outcome) {
+            HealthChange::None => reliability,
+            HealthChange::BeganFailing => Some(Judgement::Failing),
+            HealthChange::Recovered(after) => {
+                if after >= COLD_AFTER {
+                    self.warming_since = now;
+                }
+                Some(Judgement::Recovered)
+            }
         }
-        change
     }
 
     /// Takes over reported load. A life that is leaving stays so.
@@ -115,6 +120,11 @@
         self.load.observe(now, report);
     }
 
+    /// Whether the backend server rejects or fails a part of the requests.
+    pub(crate) fn is_unreliable(&self) -> bool {
+        self.unserved.is_unreliable()
+    }
+
     /// Share of its requests that the backend server rejects or fails, from 0 to 1.
     pub(crate) fn unserved_share(&self, now: MonoTime) -> f64 {
         self.unserved.share(now)
--- a/crates/rhubarblanding_routing/tests/unserved.rs
+++ b/crates/rhubarblanding_routing/tests/unserved.rs
@@ -246,3 +246,37 @@
     println!("{after:?}");
     assert_that!(after.served * 100, ge(after.offered * 90));
 }
+
+/// Each change of what is thought of a target is told once.
+#[test]
+fn judgements_are_told_when_they_change() {
+    let mut router = Router::new(RouterSettings::default());
+    let info = server(0, 0).info;
+    let id = TargetId {
+        host: info.host,
+        incarnation: info.incarnation,
+    };
+    router.upsert(MonoTime::ZERO, info);
+    let outcomes = [
+        (TargetOutcome::Rejected, 5),
+        (TargetOutcome::Answered, 60),
+        (TargetOutcome::Rejected, 1),
+        (TargetOutcome::ConnectFailed, 5),
+        (TargetOutcome::Answered, 60),
+    ];
+    let mut judgements = Vec::new();
+    for (outcome, times) in outcomes {
+        for _ in 0..times {
+            let now = MonoTime::from_millis(3_000);
+            router.started(now, id);
+            judgements.extend(router.finished(now, id, outcome));
+        }
+    }
+    let expected = [
+        Judgement::Unreliable,
+        Judgement::Reliable,
+        Judgement::Failing,
+        Judgement::Recovered,
+    ];
+    assert_that!(judgements, eq(&expected.to_vec()));
+}
