Join through whoever writes to a node that knows nobody

A member took the sender of a message into its sample only if it sent its record.

Ruled out: the readiness after 1.5 s (a node that knew nobody would refuse later as well); lost connections (the document came over the same one); membership that has not spread (others probed it).

Change: a member that knows no live peer answers a probe or a push with an introduction, to which the peer replies with what it knows.

--- a/crates/rhubarblanding_membership/src/membership/exchange.rs
+++ b/crates/rhubarblanding_membership/src/membership/exchange.rs
@@ -38,6 +38,14 @@
         self.introduce_to(cx, chosen);
     }
 
+    /// Introduces this node to a peer that has heard of it, as long as it knows no other. A node
+    /// that starts anew may have no address but those from which others still write to it.
+    pub(super) fn join_through(&self, cx: &mut Cx<'_>, peer: HostId) {
+        if self.sample.is_isolated() {
+            self.introduce_to(cx, vec![peer]);
+        }
+    }
+
     fn introduce_to(&self, cx: &mut Cx<'_>, hosts: Vec<HostId>) {
         for host in hosts {
             let record = Box::new(self.me.clone());
--- a/crates/rhubarblanding_membership/src/membership/mod.rs
+++ b/crates/rhubarblanding_membership/src/membership/mod.rs
@@ -273,6 +273,9 @@
         }
         self.note_document(cx, from, msg.document);
         self.learn_rumours(cx, from, msg.rumours);
+        if matches!(msg.body, Body::Ping(_) | Body::Rumours) {
+            self.join_through(cx, from);
+        }
         match msg.body {
             Body::Rumours => {}
             Body::Ping(seq) => self.send(cx, from, Body::Ack(seq)),
--- a/crates/rhubarblanding_membership/tests/seeds.rs
+++ b/crates/rhubarblanding_membership/tests/seeds.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rhubarblanding_core::prelude::*;
+use rhubarblanding_membership::message::ProbeSeq;
 use rhubarblanding_membership::prelude::*;
 
 const NODES: u8 = 40;
@@ -23,9 +24,13 @@
 }
 
 fn member(i: u8) -> Membership {
+    life(i, Incarnation(1))
+}
+
+fn life(i: u8, incarnation: Incarnation) -> Membership {
     let info = TargetInfo {
         host: host(i),
-        incarnation: Incarnation(1),
+        incarnation,
         service: service(i),
         zone: ZoneName::try_from(format!("z{}", i % ZONES)).expect("a name"),
         slots: 10,
@@ -39,24 +44,36 @@
     Membership::new(info, settings)
 }
 
-/// No time passes, so no timer helps.
-#[test]
-fn addresses_of_all_nodes_make_all_targets_known() {
-    let mut rng = SmallRng::seed_from_u64(1);
-    let mut members: Vec<_> = (0..NODES).map(member).collect();
-    let hosts: Vec<_> = (0..NODES).map(host).collect();
-    let mut messages = VecDeque::new();
-    for member in &mut members {
-        let outputs = member.handle(MonoTime::ZERO, &mut rng, Input::Seeds(hosts.clone()));
-        messages.extend(outputs);
-    }
+fn hosts() -> Vec<HostId> {
+    (0..NODES).map(host).collect()
+}
+
+/// Delivers messages until none is left. No time passes, so no timer helps.
+fn deliver(members: &mut [Membership], rng: &mut SmallRng, outputs: Vec<Output>) {
+    let mut messages = VecDeque::from(outputs);
     while let Some(output) = messages.pop_front() {
         let Output::Send { to, msg } = output else {
             continue;
         };
-        let at = hosts.iter().position(|host| *host == to).expect("a node");
-        messages.extend(members[at].handle(MonoTime::ZERO, &mut rng, Input::Message(*msg)));
+        let at = hosts().iter().position(|host| *host == to);
+        let member = &mut members[at.expect("a node")];
+        messages.extend(member.handle(MonoTime::ZERO, rng, Input::Message(*msg)));
     }
+}
+
+fn joined(rng: &mut SmallRng) -> Vec<Membership> {
+    let mut members: Vec<_> = (0..NODES).map(member).collect();
+    let mut outputs = Vec::new();
+    for member in &mut members {
+        outputs.extend(member.handle(MonoTime::ZERO, rng, Input::Seeds(hosts())));
+    }
+    deliver(&mut members, rng, outputs);
+    members
+}
+
+#[test]
+fn addresses_of_all_nodes_make_all_targets_known() {
+    let members = joined(&mut SmallRng::seed_from_u64(1));
     for member in &members {
         for i in 0..SERVICES {
             let known = member.targets(&service(i)).len();
@@ -64,3 +81,24 @@
         }
     }
 }
+
+/// A node that starts anew while the key-value service is away is told of no address, but the others,
+/// which knew its earlier life, still probe it.
+#[test]
+fn node_that_knows_nobody_joins_through_whoever_probes_it() {
+    let mut rng = SmallRng::seed_from_u64(2);
+    let mut members = joined(&mut rng);
+    members[0] = life(0, Incarnation(2));
+    let probe = GossipMessage {
+        from: host(1),
+        incarnation: Incarnation(1),
+        document: DocVersion(0),
+        rumours: Vec::new(),
+        body: Body::Ping(ProbeSeq(1)),
+    };
+    let outputs = members[0].handle(MonoTime::ZERO, &mut rng, Input::Message(probe));
+    deliver(&mut members, &mut rng, outputs);
+    for i in 0..SERVICES {
+        assert_that!(members[0].targets(&service(i)).len(), gt(0));
+    }
+}
