--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod malformed;
 mod mended;
+mod one_connection;
 mod operators;
 mod retries;
 mod settings;
