--- a/crates/rhubarblanding_routing/src/router/state.rs
+++ b/crates/rhubarblanding_routing/src/router/state.rs
@@ -8,9 +8,9 @@
 use super::{DrainingUse, RouterSettings};
 use crate::target::{Judgement, Target, TargetId, TargetOutcome};
 
-/// Targets that are drawn at most for one choice: even if four of five are unreliable, one that is
-/// not is among them in nine of ten cases.
-const DRAWS_MAX: usize = 12;
+/// Targets that are compared at most for one choice: even if four of five are unreliable, one that
+/// is not is among them in nine of ten cases.
+const CANDIDATES_MAX: usize = 12;
 /// What is asked of [`Router::pick`].
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PickRequest<'a> {
@@ -248,8 +248,8 @@
         let eligible = |key| self.is_eligible(now, key, exclude);
         let first = draw(rng, list, eligible)?;
         let mut best = self.candidate(now, first);
-        for drawn in 1..DRAWS_MAX {
-            if drawn >= 2 && !best.is_unreliable {
+        for compared in 1..CANDIDATES_MAX {
+            if compared >= 2 && !best.is_unreliable {
                 break;
             }
             let Some(other) = draw(rng, list, |key| key != best.key && eligible(key)) else {
