Call what the project has in place of copies in the soak, its tools and the router

Cause: a last reading of the change.

The two impl blocks of Sent are one. The router's share of a target is asked for one life of it, as everywhere else; its only caller has just found that life.

Ruled out: the moving averages of slot times and of requests not served are alike, but one decays before it takes a sample and the other does not: not the same logic.

--- a/crates/rhubarblanding_mesh/src/process/targets.rs
+++ b/crates/rhubarblanding_mesh/src/process/targets.rs
@@ -39,9 +39,7 @@
     pub fn finish(mut self, outcome: TargetOutcome) {
         self.outcome = outcome;
     }
-}
 
-impl Sent {
     fn log(&self, now: MonoTime, shard: &Shard, judgement: Judgement) {
         let router = &shard.router;
         let unserved = (router.unserved_share(now, self.target) * 100.0).round() as u32;
--- a/crates/rhubarblanding_routing/src/router/state.rs
+++ b/crates/rhubarblanding_routing/src/router/state.rs
@@ -190,8 +190,7 @@
 
     /// Share of its requests that a target's backend server rejects or fails, from 0 to 1.
     pub fn unserved_share(&self, now: MonoTime, id: TargetId) -> f64 {
-        let key = self.by_host.get(&id.host);
-        let target = key.and_then(|key| self.targets.get(*key));
+        let target = self.target(id.host).filter(|target| target.id() == id);
         target.map_or(0.0, |target| target.unserved_share(now))
     }
 
@@ -223,10 +222,7 @@
 
     /// Requests of this node at a host.
     pub fn in_flight(&self, host: HostId) -> u32 {
-        self.by_host
-            .get(&host)
-            .and_then(|key| self.targets.get(*key))
-            .map_or(0, Target::own_in_flight)
+        self.target(host).map_or(0, Target::own_in_flight)
     }
 
     /// Whether failing targets are ejected: not while too many fail, as the fault is then more
@@ -288,6 +284,10 @@
         self.targets.get(candidate.key).map(Target::id)
     }
 
+    fn target(&self, host: HostId) -> Option<&Target> {
+        self.targets.get(*self.by_host.get(&host)?)
+    }
+
     fn target_mut(&mut self, id: TargetId) -> Option<&mut Target> {
         let key = self.by_host.get(&id.host)?;
         self.targets
--- a/tools/measure/src/command/mod.rs
+++ b/tools/measure/src/command/mod.rs
@@ -4,6 +4,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use error_stack::{Report, ResultExt};
+use rhubarblanding_standins::command::numbers::number;
 use rhubarblanding_standins::command::wait_for_end;
 use rhubarblanding_standins::error::StandinError;
 
@@ -39,13 +40,7 @@
 fn case(name: &'static str, about: &'static str) -> Command {
     Command::new(name)
         .about(about)
-        .arg(
-            Arg::new("seed")
-                .long("seed")
-                .value_parser(value_parser!(u64))
-                .default_value("1")
-                .help("Seed of arrivals and service times"),
-        )
+        .arg(number("seed", "1").help("Seed of arrivals and service times"))
         .arg(
             Arg::new("preset")
                 .long("preset")
--- a/tools/measure/src/slopes/settings.rs
+++ b/tools/measure/src/slopes/settings.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use error_stack::{Report, ensure};
+use rhubarblanding_standins::command::numbers::{number, value};
 
 use super::SlopesError;
 
@@ -42,38 +43,18 @@
 pub fn command() -> Command {
     Command::new(NAME)
         .about("Cost of membership against nodes, services and changes a day")
-        .arg(number_list(
-            "nodes",
-            "50,100,200,400,800",
-            "Numbers of nodes",
-        ))
-        .arg(number(
-            "full-view-max",
-            "800",
-            "Greatest number of nodes for the full view",
-        ))
-        .arg(number(
-            "faults-max",
-            "800",
-            "Greatest number of nodes for the faults",
-        ))
-        .arg(number(
-            "reference-nodes",
-            "400",
-            "Nodes at which the other variables are varied",
-        ))
-        .arg(number("target-nodes", "6700", "Nodes to extrapolate to"))
-        .arg(number(
-            "seconds",
-            "120",
-            "Length of each steady measurement, in seconds",
-        ))
-        .arg(number(
-            "repeats",
-            "10",
-            "Number of changes of each kind that are timed",
-        ))
-        .arg(number("seed", "1", "Seed of everything random"))
+        .arg(
+            number("nodes", "50,100,200,400,800")
+                .value_delimiter(',')
+                .help("Numbers of nodes"),
+        )
+        .arg(number("full-view-max", "800").help("Greatest number of nodes for the full view"))
+        .arg(number("faults-max", "800").help("Greatest number of nodes for the faults"))
+        .arg(number("reference-nodes", "400").help("Nodes at which the other variables are varied"))
+        .arg(number("target-nodes", "6700").help("Nodes to extrapolate to"))
+        .arg(number("seconds", "120").help("Length of each steady measurement, in seconds"))
+        .arg(number("repeats", "10").help("Number of changes of each kind that are timed"))
+        .arg(number("seed", "1").help("Seed of everything random"))
         .arg(
             Arg::new("json")
                 .long("json")
@@ -82,22 +63,6 @@
         )
 }
 
-fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .default_value(default)
-        .value_parser(value_parser!(u64))
-        .help(help)
-}
-
-fn number_list(name: &'static str, default: &'static str, help: &'static str) -> Arg {
-    number(name, default, help).value_delimiter(',')
-}
-
-fn value(matches: &ArgMatches, name: &str) -> u64 {
-    matches.get_one(name).copied().unwrap_or_default()
-}
-
 impl TryFrom<&ArgMatches> for SlopesSettings {
     type Error = Report<SlopesError>;
 
--- a/tools/standins/src/command/load.rs
+++ b/tools/standins/src/command/load.rs
@@ -6,6 +6,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use error_stack::{Report, ResultExt};
 
+use super::numbers::number;
 use super::{all, millis, one};
 use crate::error::StandinError;
 use crate::load::{Load, LoadKind, LoadSettings, Phase, RetryMode, Route};
@@ -45,13 +46,6 @@
         .arg(Arg::new("name").long("name").default_value("load"))
 }
 
-fn number(name: &'static str, default: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .value_parser(value_parser!(u64))
-        .default_value(default)
-}
-
 /// Sends the load and prints the report.
 ///
 /// # Errors
--- a/tools/standins/src/command/mod.rs
+++ b/tools/standins/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod load;
+pub mod numbers;
 pub mod relay;
 
 use std::time::Duration;
--- a/tools/standins/tests/relay.rs
+++ b/tools/standins/tests/relay.rs
@@ -80,11 +80,14 @@
 }
 
 /// Bytes pass again on a connection that was silent, those held back included.
-async fn silent_connection_thaws(silence: RelayChange) {
+async fn silent_connection_thaws(direction: Direction) {
     let relay = echo_through_relay().await;
     let mut conn = connect(&relay).await;
     assert_that!(echoed(&mut conn).await, some(eq(4)));
-    relay.change(silence);
+    relay.change(RelayChange {
+        freeze_one_way: Some(direction),
+        ..RelayChange::default()
+    });
     assert_that!(echoed(&mut conn).await, none());
     relay.change(RelayChange {
         thaw: true,
@@ -95,20 +98,12 @@
 
 #[tokio::test]
 async fn connection_that_is_silent_towards_the_target_thaws() {
-    silent_connection_thaws(RelayChange {
-        freeze_one_way: Some(Direction::Up),
-        ..RelayChange::default()
-    })
-    .await;
+    silent_connection_thaws(Direction::Up).await;
 }
 
 #[tokio::test]
 async fn connection_that_is_silent_towards_the_caller_thaws() {
-    silent_connection_thaws(RelayChange {
-        freeze_one_way: Some(Direction::Down),
-        ..RelayChange::default()
-    })
-    .await;
+    silent_connection_thaws(Direction::Down).await;
 }
 
 #[tokio::test]
