Serve configurations that hold parts this version does not know

Change: the adapter decodes a configuration part by part if it cannot be decoded at once. A route with a fault is refused with `unusable_route` (503, never 404) and all other routes are served; where even its host is unknown, requests without a route are refused so too. Findings are logged once a version, counted in a gauge, and an unreadable document is counted while the one in force stays.

--- a/crates/rhubarblanding_core/src/error.rs
+++ b/crates/rhubarblanding_core/src/error.rs
@@ -107,6 +107,8 @@
     UnknownService => 404, NotRun, Never, "refused.unknown_service", "No such service.";
     /// No route of the configuration matches host and path.
     UnknownRoute => 404, NotRun, Never, "refused.unknown_route", "No such route.";
+    /// The route of the request, or possibly its route, has a fault in the configuration.
+    UnusableRoute => 503, NotRun, After, "refused.unusable_route", "The route has a fault in the configuration.";
     /// The node has not read a configuration yet.
     NoConfiguration => 503, NotRun, After, "refused.no_configuration", "The node has no configuration yet.";
     /// The body is larger than allowed for its kind.
--- a/crates/rhubarblanding_mesh/src/process/configuration.rs
+++ b/crates/rhubarblanding_mesh/src/process/configuration.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_membership::prelude::{Document, Input};
+use rhubarblanding_routing::table::ConfigurationError;
 use rhubarblanding_store::backoff::BackoffSettings;
 use rhubarblanding_store::watch::{WatchEvent, WatchLoop, WatchSettings};
 
@@ -21,6 +22,8 @@
 /// Maximum delay between attempts while the service fails: a configuration must be active within
 /// two seconds of the service's recovery. The first node that reads it sends it to the others.
 const RETRY_MAX: Duration = Duration::from_millis(1_600);
+/// Maximum number of faults of one version that are logged one by one.
+const FINDINGS_LOGGED_MAX: usize = 20;
 
 /// Watches the configuration and adopts new versions; runs until the process ends.
 pub async fn follow(node: Arc<Shared>) {
@@ -63,15 +66,31 @@
     let configuration = match node.protocol.configuration(value) {
         Ok(configuration) => configuration,
         Err(e) => {
+            node.metrics.configuration_refused();
             log::warn!(source = source, field = e.field, reason = e.reason; "configuration_invalid");
             return None;
         }
     };
     let number = configuration.version;
     let routes = configuration.routes.len();
+    let findings = configuration.findings.clone();
     let version = Version::new(configuration, &mut SmallRng::from_os_rng());
     if node.adopt(version) {
-        log::info!(version = number.0, source = source, routes = routes; "configuration_adopted");
+        log::info!(
+            version = number.0, source = source, routes = routes, findings = findings.len();
+            "configuration_adopted"
+        );
+        log_findings(node, number, &findings);
     }
     Some(number)
 }
+
+fn log_findings(node: &Shared, version: DocVersion, findings: &[ConfigurationError]) {
+    node.metrics.set_configuration_findings(findings.len());
+    for finding in findings.iter().take(FINDINGS_LOGGED_MAX) {
+        log::warn!(
+            version = version.0, field = finding.field, reason = finding.reason;
+            "configuration_finding"
+        );
+    }
+}
--- a/crates/rhubarblanding_mesh/src/process/metrics.rs
+++ b/crates/rhubarblanding_mesh/src/process/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use rhubarblanding_core::prelude::*;
@@ -36,6 +37,8 @@
     target_failures: Counter,
     retries: Counter,
     cancelled: Counter,
+    configurations_refused: Counter,
+    configuration_findings: Gauge,
 }
 
 impl Default for Metrics {
@@ -73,6 +76,20 @@
         );
         let help = "Requests whose sender left before the answer";
         registry.register("cancelled", help, cancelled.clone());
+        let configurations_refused = Counter::default();
+        let help = "Configurations that could not be read at all";
+        registry.register(
+            "configurations_refused",
+            help,
+            configurations_refused.clone(),
+        );
+        let configuration_findings = Gauge::default();
+        let help = "Faults in the active configuration";
+        registry.register(
+            "configuration_findings",
+            help,
+            configuration_findings.clone(),
+        );
         Self {
             registry,
             refusals,
@@ -81,6 +98,8 @@
             target_failures,
             retries,
             cancelled,
+            configurations_refused,
+            configuration_findings,
         }
     }
 }
@@ -115,6 +134,16 @@
         self.cancelled.inc();
     }
 
+    /// Counts a configuration that could not be read.
+    pub fn configuration_refused(&self) {
+        self.configurations_refused.inc();
+    }
+
+    /// Sets the number of faults in the active configuration.
+    pub fn set_configuration_findings(&self, findings: usize) {
+        self.configuration_findings.set(findings as i64);
+    }
+
     /// Returns all values in the OpenMetrics text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -29,6 +29,8 @@
 /// `Retry-After` while this node has no configuration or no target for the service: both usually
 /// last a second or two.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` for a route with a fault, which lasts until the operators write a new version.
+const UNUSABLE_ROUTE_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// `Retry-After` of a stopping node; the client retries at another node.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -110,8 +112,12 @@
     let host = host_of(&parts.headers, &parts.uri)
         .unwrap_or_default()
         .to_owned();
-    let Some(route) = ChosenRoute::find(&version, &host, parts.uri.path()) else {
-        return Err(reject(ErrorKind::UnknownRoute, None));
+    let route = match ChosenRoute::find(&version, &host, parts.uri.path()) {
+        Ok(route) => route,
+        Err(kind) => {
+            let retry = (kind == ErrorKind::UnusableRoute).then_some(UNUSABLE_ROUTE_RETRY_AFTER);
+            return Err(reject(kind, retry));
+        }
     };
     let parents = node.protocol.possible_parents(request_id.as_bytes());
     let lineage = node.local.begin_call(&parents);
--- a/crates/rhubarblanding_mesh/src/version/mod.rs
+++ b/crates/rhubarblanding_mesh/src/version/mod.rs
@@ -5,7 +5,9 @@
 use rand::Rng;
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_node::process::parking::{Mutex, lock};
-use rhubarblanding_routing::table::{Backend, Configuration, Route, RouteKey, RouteTable, Split};
+use rhubarblanding_routing::table::{
+    Backend, Configuration, Route, RouteKey, RouteMatch, RouteTable, Split,
+};
 
 /// Active version of the configuration, with its route table and traffic splits.
 #[derive(Debug)]
@@ -46,12 +48,19 @@
 
 impl ChosenRoute {
     /// Finds the route of a request.
-    pub fn find(version: &Arc<Version>, host: &str, path: &str) -> Option<Self> {
-        let key = version.table.find(host, path)?;
-        Some(Self {
-            version: Arc::clone(version),
-            key,
-        })
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::UnknownRoute`] or [`ErrorKind::UnusableRoute`].
+    pub fn find(version: &Arc<Version>, host: &str, path: &str) -> Result<Self, ErrorKind> {
+        match version.table.find(host, path) {
+            RouteMatch::Route(key) => Ok(Self {
+                version: Arc::clone(version),
+                key,
+            }),
+            RouteMatch::Unusable => Err(ErrorKind::UnusableRoute),
+            RouteMatch::Unknown => Err(ErrorKind::UnknownRoute),
+        }
     }
 
     /// Returns the route.
--- a/crates/rhubarblanding_routing/src/table/configuration.rs
+++ b/crates/rhubarblanding_routing/src/table/configuration.rs
@@ -13,10 +13,25 @@
     pub version: u64,
     /// Routes.
     pub routes: Vec<RawRoute>,
+    /// Routes that could not be decoded.
+    pub undecoded: Vec<RawUndecodedRoute>,
     /// Services.
     pub services: Vec<RawService>,
     /// Limits for clients.
     pub limits: RawLimits,
+    /// Faults found while decoding.
+    pub findings: Vec<ConfigurationError>,
+}
+
+/// Requests that a route which could not be decoded would match.
+#[derive(Clone, Debug, Default)]
+pub struct RawUndecodedRoute {
+    /// Position among all routes of the configuration.
+    pub position: usize,
+    /// Host, if it could be decoded.
+    pub host: Option<String>,
+    /// Prefix of the path, if it could be decoded.
+    pub path_prefix: Option<String>,
 }
 
 /// Decoded route.
@@ -73,7 +88,7 @@
     pub idle_timeout_ms: u64,
 }
 
-/// Reason for which a configuration is not valid.
+/// Fault in a part of a configuration. The other parts remain valid.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigurationError {
     /// Path of the invalid field, for example `routes[2].host`.
@@ -153,13 +168,32 @@
     }
 }
 
+/// Requests of a route that is in the configuration but not valid.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnusableRoute {
+    /// Host in lower case, without a port.
+    pub host: String,
+    /// Prefix of the path.
+    pub path_prefix: String,
+}
+
 /// Validated configuration.
+///
+/// A fault in one route takes only that route out of use: its requests are refused, and all other
+/// routes are served.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Configuration {
     /// Version; later ones are greater.
     pub version: DocVersion,
-    /// Routes.
+    /// Valid routes.
     pub routes: Vec<Route>,
+    /// Routes with a fault.
+    pub unusable: Vec<UnusableRoute>,
+    /// `true` if the host of some route is unknown, so that any request without a valid route may
+    /// belong to it.
+    pub has_unplaced_routes: bool,
+    /// Faults in the configuration.
+    pub findings: Vec<ConfigurationError>,
     /// Services.
     pub services: HashMap<ServiceName, ServiceSpec>,
     /// Limits for clients.
@@ -177,26 +211,61 @@
     ServiceName::try_from(raw).map_err(|e: InvalidName| error(field, e))
 }
 
-impl TryFrom<RawConfiguration> for Configuration {
-    type Error = ConfigurationError;
-
-    fn try_from(raw: RawConfiguration) -> Result<Self, ConfigurationError> {
-        let mut services = HashMap::default();
+impl From<RawConfiguration> for Configuration {
+    fn from(raw: RawConfiguration) -> Self {
+        let mut checked = Self {
+            version: DocVersion(raw.version),
+            routes: Vec::with_capacity(raw.routes.len()),
+            limits: raw.limits.into(),
+            findings: raw.findings,
+            ..Self::default()
+        };
         for (i, service) in raw.services.into_iter().enumerate() {
-            let name = service_name(&format!("services[{i}].name"), service.name)?;
-            let max_connections = u32::try_from(service.max_connections).unwrap_or(u32::MAX);
-            services.insert(name, ServiceSpec { max_connections });
+            checked.add_service(&format!("services[{i}].name"), service);
         }
-        let mut routes = Vec::with_capacity(raw.routes.len());
-        for (i, route) in raw.routes.into_iter().enumerate() {
-            routes.push(validate_route(&format!("routes[{i}]"), route)?);
+        let is_undecoded = |i: &usize| raw.undecoded.iter().any(|route| route.position == *i);
+        let positions = (0..).filter(|i| !is_undecoded(i));
+        for (i, route) in positions.zip(raw.routes) {
+            checked.add_route(&format!("routes[{i}]"), route);
+        }
+        for route in raw.undecoded {
+            checked.add_unusable(route.host, route.path_prefix);
+        }
+        checked
+    }
+}
+
+impl Configuration {
+    fn add_service(&mut self, field: &str, raw: RawService) {
+        match service_name(field, raw.name) {
+            Ok(name) => {
+                let max_connections = u32::try_from(raw.max_connections).unwrap_or(u32::MAX);
+                self.services.insert(name, ServiceSpec { max_connections });
+            }
+            Err(e) => self.findings.push(e),
+        }
+    }
+
+    fn add_route(&mut self, field: &str, raw: RawRoute) {
+        let (host, path_prefix) = (raw.host.clone(), raw.path_prefix.clone());
+        match validate_route(field, raw) {
+            Ok(route) => self.routes.push(route),
+            Err(e) => {
+                self.findings.push(e);
+                self.add_unusable(Some(host), Some(path_prefix));
+            }
+        }
+    }
+
+    /// Adds a route with a fault. Without a prefix it may match any path of its host.
+    fn add_unusable(&mut self, host: Option<String>, path_prefix: Option<String>) {
+        match host.filter(|host| !host.is_empty()) {
+            Some(host) => self.unusable.push(UnusableRoute {
+                host: host.to_ascii_lowercase(),
+                path_prefix: path_prefix.unwrap_or_default(),
+            }),
+            None => self.has_unplaced_routes = true,
         }
-        Ok(Self {
-            version: DocVersion(raw.version),
-            routes,
-            services,
-            limits: raw.limits.into(),
-        })
     }
 }
 
--- a/crates/rhubarblanding_routing/src/table/lookup.rs
+++ b/crates/rhubarblanding_routing/src/table/lookup.rs
@@ -15,25 +15,64 @@
     }
 }
 
+/// Result of a lookup.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteMatch {
+    /// The route of the request.
+    Route(RouteKey),
+    /// The request belongs, or may belong, to a route that is not valid.
+    Unusable,
+    /// No route matches.
+    Unknown,
+}
+
+impl RouteMatch {
+    /// Returns the key of a valid route.
+    pub fn key(self) -> Option<RouteKey> {
+        match self {
+            Self::Route(key) => Some(key),
+            Self::Unusable | Self::Unknown => None,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Slot {
+    Route(RouteKey),
+    /// Index in [`Configuration::unusable`].
+    Unusable(u32),
+}
+
 /// Routes of one configuration, ordered for lookup.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     configuration: Configuration,
     /// Routes of each host, longest prefix first.
-    by_host: HashMap<String, Vec<RouteKey>>,
+    by_host: HashMap<String, Vec<Slot>>,
+}
+
+fn prefix(configuration: &Configuration, slot: Slot) -> &str {
+    match slot {
+        Slot::Route(key) => &configuration.routes[key.index()].path_prefix,
+        Slot::Unusable(i) => &configuration.unusable[i as usize].path_prefix,
+    }
 }
 
 impl RouteTable {
     /// Creates the table of a configuration.
     pub fn new(configuration: Configuration) -> Self {
-        let mut by_host: HashMap<String, Vec<RouteKey>> = HashMap::default();
+        let mut by_host: HashMap<String, Vec<Slot>> = HashMap::default();
         for (i, route) in configuration.routes.iter().enumerate() {
-            let keys = by_host.entry(route.host.clone()).or_default();
-            keys.push(RouteKey(i as u32));
+            let slots = by_host.entry(route.host.clone()).or_default();
+            slots.push(Slot::Route(RouteKey(i as u32)));
+        }
+        for (i, route) in configuration.unusable.iter().enumerate() {
+            let slots = by_host.entry(route.host.clone()).or_default();
+            slots.push(Slot::Unusable(i as u32));
         }
-        for keys in by_host.values_mut() {
-            let len = |key: &RouteKey| configuration.routes[key.index()].path_prefix.len();
-            keys.sort_by_key(|key| std::cmp::Reverse(len(key)));
+        for slots in by_host.values_mut() {
+            // The sort is stable: of two routes with one prefix the valid one is found.
+            slots.sort_by_key(|slot| std::cmp::Reverse(prefix(&configuration, *slot).len()));
         }
         Self {
             configuration,
@@ -52,16 +91,18 @@
     }
 
     /// Finds the route with the longest matching path prefix. `host` may include a port.
-    pub fn find(&self, host: &str, path: &str) -> Option<RouteKey> {
+    pub fn find(&self, host: &str, path: &str) -> RouteMatch {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let keys = match self.by_host.get(name) {
-            Some(keys) => keys,
-            None => self.by_host.get(&name.to_ascii_lowercase())?,
-        };
-        let matches = |key: &&RouteKey| {
-            let route = &self.configuration.routes[key.index()];
-            path.starts_with(&route.path_prefix)
-        };
-        keys.iter().find(matches).copied()
+        let slots = self
+            .by_host
+            .get(name)
+            .or_else(|| self.by_host.get(&name.to_ascii_lowercase()));
+        let matches = |slot: &&Slot| path.starts_with(prefix(&self.configuration, **slot));
+        match slots.and_then(|slots| slots.iter().find(matches)) {
+            Some(Slot::Route(key)) => RouteMatch::Route(*key),
+            Some(Slot::Unusable(_)) => RouteMatch::Unusable,
+            None if self.configuration.has_unplaced_routes => RouteMatch::Unusable,
+            None => RouteMatch::Unknown,
+        }
     }
 }
--- a/crates/rhubarblanding_routing/src/table/mod.rs
+++ b/crates/rhubarblanding_routing/src/table/mod.rs
@@ -9,7 +9,7 @@
 
 pub use configuration::{
     Backend, ClientLimits, Configuration, ConfigurationError, RawBackend, RawConfiguration,
-    RawLimits, RawRoute, RawService, Route, ServiceSpec,
+    RawLimits, RawRoute, RawService, RawUndecodedRoute, Route, ServiceSpec, UnusableRoute,
 };
-pub use lookup::{RouteKey, RouteTable};
+pub use lookup::{RouteKey, RouteMatch, RouteTable};
 pub use split::Split;
