Tell the warm-up load of a truthfulness test apart from the checked one

Cause: the load that waits until both targets have work and the load that is checked number their requests from 0 under the same name, so a refused request of the second could be taken for a run of the first (KNOWN-RED.txt, refusals_are_true_when_a_keyed_write_is_lost).

Change: the first load has its own name. The check and its bounds are as they were.

--- a/tests/process/truthful.rs
+++ b/tests/process/truthful.rs
@@ -201,6 +201,8 @@
         cfg.route = Route::Nodes(vec![bench.cluster.entries()[0]]);
         let mut first = single(&bench, &[kind], 40.0, 0.5);
         first.route = cfg.route.clone();
+        // Identifiers of this load must not be taken for those of the load that is checked.
+        first.name = "warmup".to_owned();
         wait_until_both_run(&bench, &first).await;
         let running = tokio::spawn(run(cfg));
         tokio::time::sleep(FAULT).await;
