Follow a key-value service that comes back from an older copy

Cause: revisions and lease identifiers were compared and sent as bare numbers. After a restore a watch dropped a new configuration until its revision passed the old one, a renewal could keep a stranger's lease alive, a swap could succeed against another value by accident, and departures of targets that the copy lacks were gone.

Change: revisions and leases carry the era in which they were given out; the client refuses them in another era, drops answers of an earlier era and tells of a rise. Watches read again, nodes register again and record departed and draining instances again.

--- a/crates/rhubarblanding_mesh/src/process/configuration.rs
+++ b/crates/rhubarblanding_mesh/src/process/configuration.rs
@@ -41,7 +41,7 @@
         match watch.next().await {
             WatchEvent::Changed(new) => adopt_from_store(&node, &new.value),
             WatchEvent::Removed(revision) => {
-                log::warn!(revision = revision.0; "configuration_removed");
+                log::warn!(revision = revision.number(); "configuration_removed");
             }
         }
     }
--- a/crates/rhubarblanding_mesh/src/process/instance.rs
+++ b/crates/rhubarblanding_mesh/src/process/instance.rs
@@ -115,6 +115,18 @@
         }
     }
 
+    /// Returns the instances that must not serve again: those that have left, the latest one of
+    /// each identifier, and the current one if it drains.
+    pub fn departed(&self) -> impl Iterator<Item = Instance> {
+        let draining = self.current.iter().filter(|current| current.draining);
+        let draining = draining.map(|current| current.instance.clone());
+        let left = self.departed.iter().map(|(id, started_at)| Instance {
+            started_at: *started_at,
+            id: id.clone(),
+        });
+        left.chain(draining)
+    }
+
     fn has_departed(&self, instance: &Instance) -> bool {
         let latest_start = self.departed.get(&instance.id);
         latest_start.is_some_and(|latest| instance.started_at <= *latest)
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -261,6 +261,11 @@
         lock(&self.state).tracker.mark_departed(instance);
     }
 
+    /// Returns the departed instances that are known.
+    pub fn departed(&self) -> Vec<Instance> {
+        lock(&self.state).tracker.departed().collect()
+    }
+
     /// Returns the instance that serves requests, if any.
     pub fn serving(&self) -> Option<Instance> {
         lock(&self.state).tracker.serving().cloned()
--- a/crates/rhubarblanding_mesh/src/process/mesh.rs
+++ b/crates/rhubarblanding_mesh/src/process/mesh.rs
@@ -113,6 +113,7 @@
         tokio::spawn(end_listing_wait(listed_tx.clone()));
         tokio::spawn(registration::maintain(Arc::clone(&node), listed_tx));
         tokio::spawn(read_departed(Arc::clone(&node), trust));
+        tokio::spawn(registration::rerecord_departures(Arc::clone(&node)));
         let shared = Arc::clone(&node);
         tokio::spawn(async move { shared.local.run_timers(&shared).await });
         tokio::spawn(close_idle(Arc::clone(&node)));
--- a/crates/rhubarblanding_mesh/src/process/registration.rs
+++ b/crates/rhubarblanding_mesh/src/process/registration.rs
@@ -53,7 +53,9 @@
     let mut lease = None;
     let mut listed_at = None;
     let mut has_failed = false;
+    let mut era = node.store.watch_era();
     loop {
+        era.mark_unchanged();
         let began = tokio::time::Instant::now();
         let result = match lease {
             Some(held) => node.store.renew_lease(held, NODE_TTL).await.map(|_| held),
@@ -73,7 +75,7 @@
             Err(report) => {
                 let e = *report.current_context();
                 log::info!(reason:% = e; "registration_failed");
-                if e == StoreError::LeaseLapsed {
+                if matches!(e, StoreError::LeaseLapsed | StoreError::EraChanged) {
                     lease = None;
                 }
                 match std::mem::replace(&mut has_failed, true) {
@@ -82,7 +84,11 @@
                 }
             }
         };
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            // The entry may be gone, and its lease may be given to another holder.
+            Ok(()) = era.changed() => lease = None,
+        }
     }
 }
 
@@ -174,6 +180,18 @@
     log::info!(instance:% = instance.id, born = instance.started_at.0; "departure_recorded");
 }
 
+/// Records all known departures again after the key-value service was restored from an older
+/// copy, which may lack them; runs until the process ends.
+pub async fn rerecord_departures(node: Arc<Shared>) {
+    let mut era = node.store.watch_era();
+    while era.changed().await.is_ok() {
+        era.mark_unchanged();
+        for instance in node.local.departed() {
+            tokio::spawn(record_until_stored(Arc::clone(&node), instance));
+        }
+    }
+}
+
 async fn record_departed(node: &Shared, instance: &Instance) -> StoreResult<()> {
     let hex: String = instance.id.0.bytes().map(|b| format!("{b:02x}")).collect();
     let text = format!("{}{}/{hex}", departed_prefix(node), instance.started_at.0);
--- a/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
@@ -13,7 +13,7 @@
 use rhubarblanding_mesh::prelude::*;
 use rhubarblanding_mesh::settings::{ListenSettings, RetryBound};
 use rhubarblanding_standins::process::free_addresses;
-use rhubarblanding_standins::store::StoreServer;
+use rhubarblanding_standins::store::{Faults, Kv, StoreServer};
 use tokio::sync::oneshot;
 
 use rhubarblanding_store::{Key, Revision, StoreClient, StoreSettings};
@@ -44,13 +44,12 @@
     pub hosts: Vec<Host>,
     pub store: StoreServer,
     client: HttpClient,
-    revision: Revision,
 }
 
 impl Fleet {
     /// Starts a host for each of `services`, all with `routes` as their configuration.
     pub async fn start(services: &[&'static str], routes: &[(&str, &str, bool)]) -> Self {
-        let mut fleet = Self::without_configuration(services).await;
+        let fleet = Self::without_configuration(services).await;
         fleet.configure(1, routes).await;
         for i in 0..fleet.hosts.len() {
             fleet.report(i, 1, "ready").await;
@@ -72,21 +71,41 @@
             hosts,
             store,
             client: Client::builder(TokioExecutor::new()).build_http(),
-            revision: Revision::ABSENT,
         }
     }
 
-    pub async fn configure(&mut self, version: u64, routes: &[(&str, &str, bool)]) {
+    pub async fn configure(&self, version: u64, routes: &[(&str, &str, bool)]) {
         let store = StoreClient::new(StoreSettings {
             addr: self.store.addr(),
             ..StoreSettings::default()
         });
         let value = configuration_text(version, routes);
         let key = Key::from_static(CONFIGURATION_KEY);
-        let put = store.compare_and_swap(&key, self.revision, value.into());
-        if let Ok(rhubarblanding_store::CasOutcome::Stored(revision)) = put.await {
-            self.revision = revision;
-        }
+        let known = store.get(&key).await.expect("an answer");
+        let known = known.map_or(Revision::ABSENT, |known| known.revision);
+        let put = store.compare_and_swap(&key, known, value.into()).await;
+        put.expect("the configuration is stored");
+    }
+
+    /// Takes the key-value service away for a moment and brings it back with an older state.
+    pub async fn restore_store(&self, copy: Kv) {
+        self.store.set_faults(Faults {
+            outage: true,
+            ..Faults::default()
+        });
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        self.store.restore(copy);
+        self.store.set_faults(Faults::default());
+    }
+
+    /// Keys with `prefix` in the key-value service.
+    pub async fn stored(&self, prefix: &'static str) -> usize {
+        let store = StoreClient::new(StoreSettings {
+            addr: self.store.addr(),
+            ..StoreSettings::default()
+        });
+        let listed = store.list(&Key::from_static(prefix)).await;
+        listed.expect("a list").len()
     }
 
     /// Starts a graceful stop of host `i`.
--- a/crates/rhubarblanding_mesh/tests/mesh/main.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/main.rs
@@ -10,8 +10,7 @@
 
 use fleet::Fleet;
 use googletest::prelude::*;
-use rhubarblanding_standins::store::Faults;
-use rhubarblanding_store::{Key, StoreClient, StoreSettings};
+use rhubarblanding_standins::store::{Faults, Kv};
 use target::{Behaviour, header};
 
 const ROUTES: &[(&str, &str, bool)] = &[("/safe/", "turnos", true), ("/once/", "turnos", false)];
@@ -135,7 +134,7 @@
 
 #[tokio::test]
 async fn unknown_route_and_missing_configuration_differ() {
-    let mut fleet = Fleet::without_configuration(&["turnos"]).await;
+    let fleet = Fleet::without_configuration(&["turnos"]).await;
     let (status, headers, _) = fleet.request(0, "/safe/x", "r1").await.expect("an answer");
     assert_that!(status.as_u16(), eq(503));
     assert_that!(headers.contains_key("retry-after"), eq(true));
@@ -196,7 +195,7 @@
 
 #[tokio::test]
 async fn later_configuration_is_adopted_and_an_earlier_one_is_not() {
-    let mut fleet = fleet().await;
+    let fleet = fleet().await;
     fleet.configure(3, &[("/safe/", "egresos", true)]).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
     fleet.request(1, "/safe/x", "r1").await.expect("an answer");
@@ -327,12 +326,7 @@
     assert_that!(acknowledged.map(|s| s.as_u16()), some(eq(200)));
     fleet.store.set_faults(later_faults);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    let store = StoreClient::new(StoreSettings {
-        addr: fleet.store.addr(),
-        ..StoreSettings::default()
-    });
-    let recorded = store.list(&Key::from_static("mesh/departed/")).await;
-    assert_that!(recorded.expect("a list").len(), eq(1));
+    assert_that!(fleet.stored("mesh/departed/").await, eq(1));
 }
 
 #[tokio::test]
@@ -352,3 +346,52 @@
     };
     departure_is_recorded_after(lost, lost).await;
 }
+
+/// Time for nodes to notice that the key-value service was restored, and to write again.
+const RESTORE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Host whose target runs a request to the route `/safe/`.
+async fn serving_host(fleet: &Fleet, id: &str) -> Option<usize> {
+    let (status, _, _) = fleet.request(1, "/safe/x", id).await.expect("an answer");
+    assert_that!(status.as_u16(), eq(200));
+    let ran = |host: &fleet::Host| {
+        let ran = host.target.ran();
+        ran.iter().any(|head| header(head, "t-id") == Some(id))
+    };
+    fleet.hosts.iter().position(ran)
+}
+
+/// A restore takes back revisions, but not the configuration in force; a later version is adopted
+/// though its revision was seen before.
+#[tokio::test]
+async fn configuration_is_followed_through_a_restore() {
+    let fleet = fleet().await;
+    let copy = fleet.store.copy();
+    for version in 2..8 {
+        fleet
+            .configure(version, &[("/safe/", "egresos", true)])
+            .await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_that!(serving_host(&fleet, "r1").await, some(eq(0)));
+    fleet.restore_store(copy).await;
+    tokio::time::sleep(RESTORE_LIMIT).await;
+    assert_that!(serving_host(&fleet, "r2").await, some(eq(0)));
+    fleet.configure(9, ROUTES).await;
+    tokio::time::sleep(RESTORE_LIMIT).await;
+    assert_that!(serving_host(&fleet, "r3").await, some(gt(0)));
+}
+
+/// Addresses and departures that a restore lost are written again.
+#[tokio::test]
+async fn entries_are_written_again_after_a_restore() {
+    let fleet = fleet().await;
+    fleet.control(1, "leave i1".to_owned()).await;
+    fleet.report(2, 2, "draining").await;
+    assert_that!(fleet.stored("mesh/departed/").await, eq(2));
+    assert_that!(fleet.stored("mesh/nodes/").await, eq(3));
+    fleet.restore_store(Kv::default()).await;
+    tokio::time::sleep(RESTORE_LIMIT).await;
+    assert_that!(fleet.stored("mesh/departed/").await, eq(2));
+    assert_that!(fleet.stored("mesh/nodes/").await, eq(3));
+}
--- a/crates/rhubarblanding_store/src/client/mod.rs
+++ b/crates/rhubarblanding_store/src/client/mod.rs
@@ -1,5 +1,6 @@
 //! Single calls to the key-value service.
 
+mod eras;
 mod transport;
 
 use std::net::SocketAddr;
@@ -13,8 +14,9 @@
 use crate::error::StoreError;
 use crate::key::Key;
 use crate::value::{
-    CasOutcome, Lease, LeaseId, ListEntry, Revision, VALUE_MAX_BYTES, Versioned, WatchOutcome,
+    CasOutcome, Era, Lease, LeaseId, ListEntry, Revision, VALUE_MAX_BYTES, Versioned, WatchOutcome,
 };
+use eras::Eras;
 use transport::Transport;
 
 pub use crate::codec::StoreResult;
@@ -45,6 +47,7 @@
 pub struct StoreClient {
     transport: Transport,
     codec: Arc<dyn StoreCodec>,
+    eras: Arc<Eras>,
 }
 
 impl StoreClient {
@@ -59,9 +62,15 @@
         Self {
             transport: Transport::new(settings),
             codec,
+            eras: Arc::default(),
         }
     }
 
+    /// Returns a receiver that is notified when the service has been restored from an older copy.
+    pub fn watch_era(&self) -> tokio::sync::watch::Receiver<Era> {
+        self.eras.subscribe()
+    }
+
     /// Reads the value of `key`, `None` if it has none.
     ///
     /// # Errors
@@ -77,7 +86,8 @@
     /// # Errors
     ///
     /// [`StoreError::Unavailable`] if it was certainly not stored, [`StoreError::AnswerLost`] if
-    /// it may have been stored or may be stored later, [`StoreError::ValueTooLarge`].
+    /// it may have been stored or may be stored later, [`StoreError::ValueTooLarge`],
+    /// [`StoreError::EraChanged`] if `expected` is of an earlier era.
     pub async fn compare_and_swap(
         &self,
         key: &Key,
@@ -108,7 +118,8 @@
     /// # Errors
     ///
     /// [`StoreError::Unavailable`], [`StoreError::InvalidAnswer`], or
-    /// [`StoreError::HistoryGone`], after which the key has to be read.
+    /// [`StoreError::HistoryGone`] and [`StoreError::EraChanged`], after which the key has to be
+    /// read.
     pub async fn watch(
         &self,
         key: &Key,
@@ -139,7 +150,8 @@
     ///
     /// # Errors
     ///
-    /// As for [`grant_lease`](Self::grant_lease), and [`StoreError::LeaseLapsed`].
+    /// As for [`grant_lease`](Self::grant_lease), and [`StoreError::LeaseLapsed`] and
+    /// [`StoreError::EraChanged`].
     pub async fn renew_lease(&self, lease: LeaseId, ttl: Duration) -> StoreResult<Lease> {
         let answer = self.call(StoreCall::Renew { lease, ttl }).await?;
         self.codec.decode_lease(Some(lease), answer)
@@ -208,7 +220,27 @@
             StoreCall::Watch { wait, .. } => wait,
             _ => Duration::ZERO,
         };
+        if !call.is_valid_in(self.eras.current()) {
+            return Err(Report::new(StoreError::EraChanged));
+        }
         let wire = self.codec.encode(&call);
-        self.transport.call(wire, call.effect(), wait).await
+        let effect = call.effect();
+        let received = self.transport.call(wire, effect, wait).await?;
+        let era = self.eras.observe(self.codec.era(&received.headers));
+        let Some(era) = era else {
+            // The state that it describes is lost.
+            let old = Report::new(effect.error_after_send());
+            return Err(old.attach("answer of an earlier era"));
+        };
+        if !call.is_valid_in(era) {
+            return Err(Report::new(StoreError::EraChanged));
+        }
+        Ok(WireAnswer {
+            effect,
+            era,
+            status: received.status,
+            headers: received.headers,
+            body: received.body,
+        })
     }
 }
--- a/crates/rhubarblanding_store/src/client/transport.rs
+++ b/crates/rhubarblanding_store/src/client/transport.rs
@@ -4,14 +4,14 @@
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
-use http::{Request, header};
+use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use super::{StoreResult, StoreSettings};
-use crate::codec::{Effect, WireAnswer, WireCall};
+use crate::codec::{Effect, WireCall};
 use crate::error::StoreError;
 
 /// Maximum size of an answer in bytes: a listing may be larger than one value.
@@ -32,6 +32,14 @@
 /// Number of unanswered probes after which a connection counts as lost.
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// Complete answer.
+#[derive(Debug)]
+pub(super) struct Received {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
 /// Pool of connections to the service.
 #[derive(Clone, Debug)]
 pub(super) struct Transport {
@@ -61,7 +69,7 @@
         call: WireCall,
         effect: Effect,
         wait: Duration,
-    ) -> StoreResult<WireAnswer> {
+    ) -> StoreResult<Received> {
         let mut builder = Request::builder()
             .method(call.method)
             .uri(format!("http://{}{}", self.settings.addr, call.path));
@@ -78,7 +86,7 @@
             .attach("no answer in time")?
     }
 
-    async fn exchange(&self, req: Request<Full<Bytes>>, effect: Effect) -> StoreResult<WireAnswer> {
+    async fn exchange(&self, req: Request<Full<Bytes>>, effect: Effect) -> StoreResult<Received> {
         let res = match self.http.request(req).await {
             Ok(res) => res,
             Err(e) if e.is_connect() => {
@@ -92,8 +100,7 @@
             .await
             .map_err(|e| Report::new(effect.error_after_send()).attach(e.to_string()))?
             .to_bytes();
-        Ok(WireAnswer {
-            effect,
+        Ok(Received {
             status: head.status,
             headers: head.headers,
             body,
--- a/crates/rhubarblanding_store/src/codec/body.rs
+++ b/crates/rhubarblanding_store/src/codec/body.rs
@@ -5,19 +5,19 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::value::{Lease, LeaseId, ListEntry, Revision};
+use crate::value::{Era, Lease, LeaseId, ListEntry, Revision};
 
 /// Answer to a put: the new revision, or the current one after a conflict.
 #[derive(Debug, Deserialize)]
 pub(super) struct RevisionBody {
-    pub(super) revision: Revision,
+    pub(super) revision: u64,
 }
 
 /// Request to grant a lease, or to renew `lease`.
 #[derive(Debug, Serialize)]
 pub(super) struct LeaseBody {
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub(super) lease: Option<LeaseId>,
+    pub(super) lease: Option<u64>,
     pub(super) ttl_ms: u64,
 }
 
@@ -31,14 +31,14 @@
 /// Answer to a grant or a renewal.
 #[derive(Debug, Deserialize)]
 pub(super) struct GrantBody {
-    lease: LeaseId,
+    lease: u64,
     ttl_ms: u64,
 }
 
 impl GrantBody {
-    pub(super) fn into_lease(self) -> Lease {
+    pub(super) fn into_lease(self, era: Era) -> Lease {
         Lease {
-            id: self.lease,
+            id: LeaseId::new(era, self.lease),
             ttl: Duration::from_millis(self.ttl_ms),
         }
     }
@@ -47,5 +47,21 @@
 /// Answer to a listing.
 #[derive(Debug, Deserialize)]
 pub(super) struct ListBody {
-    pub(super) entries: Vec<ListEntry>,
+    pub(super) entries: Vec<EntryBody>,
+}
+
+/// Entry of a listing.
+#[derive(Debug, Deserialize)]
+pub(super) struct EntryBody {
+    key: String,
+    revision: u64,
+}
+
+impl EntryBody {
+    pub(super) fn into_entry(self, era: Era) -> ListEntry {
+        ListEntry {
+            key: self.key,
+            revision: Revision::new(era, self.revision),
+        }
+    }
 }
--- a/crates/rhubarblanding_store/src/codec/mod.rs
+++ b/crates/rhubarblanding_store/src/codec/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::error::StoreError;
 use crate::key::Key;
-use crate::value::{CasOutcome, Lease, LeaseId, ListPage, Revision, Versioned, WatchOutcome};
+use crate::value::{CasOutcome, Era, Lease, LeaseId, ListPage, Revision, Versioned, WatchOutcome};
 
 pub use native::NativeCodec;
 
@@ -110,6 +110,19 @@
 }
 
 impl StoreCall {
+    /// Returns `true` if the revision and the lease of the call are valid in `era`.
+    pub fn is_valid_in(&self, era: Era) -> bool {
+        let (revision, lease) = match self {
+            Self::Get { .. } | Self::Grant { .. } | Self::List { .. } => return true,
+            Self::Put {
+                expected, lease, ..
+            } => (*expected, *lease),
+            Self::Watch { after, .. } => (*after, None),
+            Self::Renew { lease, .. } => (Revision::ABSENT, Some(*lease)),
+        };
+        revision.era().is_none_or(|of| of == era) && lease.is_none_or(|lease| lease.era() == era)
+    }
+
     /// Returns the effect of the call on the service's state.
     pub fn effect(&self) -> Effect {
         match self {
@@ -137,6 +150,8 @@
 pub struct WireAnswer {
     /// Effect of the call on the service's state.
     pub effect: Effect,
+    /// Era of the service.
+    pub era: Era,
     /// HTTP status.
     pub status: StatusCode,
     /// HTTP headers.
@@ -145,7 +160,27 @@
     pub body: Bytes,
 }
 
+/// Reads an era from the header `name`.
+pub fn era_header(headers: &HeaderMap, name: &str) -> Option<Era> {
+    headers
+        .get(name)?
+        .to_str()
+        .ok()?
+        .trim()
+        .parse()
+        .ok()
+        .map(Era)
+}
+
 impl WireAnswer {
+    /// Returns the revision that the answer calls `number`.
+    pub fn revision(&self, number: u64) -> Revision {
+        match number {
+            0 => Revision::ABSENT,
+            number => Revision::new(self.era, number),
+        }
+    }
+
     /// Decodes the body as JSON.
     ///
     /// # Errors
@@ -171,6 +206,9 @@
 
 /// Wire format of one kind of key-value service.
 pub trait StoreCodec: Debug + Send + Sync {
+    /// Returns the era that the headers of an answer report, `None` if they report none.
+    fn era(&self, headers: &HeaderMap) -> Option<Era>;
+
     /// Encodes a call.
     fn encode(&self, call: &StoreCall) -> WireCall;
 
--- a/crates/rhubarblanding_store/src/codec/native.rs
+++ b/crates/rhubarblanding_store/src/codec/native.rs
@@ -2,17 +2,20 @@
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 
 use super::body::{GrantBody, LeaseBody, ListBody, RevisionBody};
 use super::{StoreCall, StoreCodec, StoreResult, WireAnswer, WireCall};
 use crate::error::StoreError;
 use crate::key::Key;
-use crate::value::{CasOutcome, Lease, LeaseId, ListPage, Revision, Versioned, WatchOutcome};
+use crate::value::{CasOutcome, Era, Lease, LeaseId, ListPage, Revision, Versioned, WatchOutcome};
 
 /// Header that carries the revision of a value.
 const REVISION_HEADER: &str = "x-revision";
 
+/// Header that carries the era of the service.
+const ERA_HEADER: &str = "x-era";
+
 /// Codec of the project's own wire format.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NativeCodec;
@@ -28,13 +31,14 @@
 
 fn put_path(key: &Key, expected: Revision, lease: Option<LeaseId>) -> String {
     match lease {
-        Some(lease) => format!("/v1/kv/{key}?expected={expected}&lease={}", lease.0),
+        Some(lease) => format!("/v1/kv/{key}?expected={expected}&lease={}", lease.number()),
         None => format!("/v1/kv/{key}?expected={expected}"),
     }
 }
 
 fn lease_body(lease: Option<LeaseId>, ttl: std::time::Duration) -> Bytes {
     let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+    let lease = lease.map(LeaseId::number);
     LeaseBody { lease, ttl_ms }.to_bytes()
 }
 
@@ -44,7 +48,7 @@
         .get(REVISION_HEADER)
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.parse().ok())
-        .map(Revision)
+        .map(|number| answer.revision(number))
         .ok_or_else(|| Report::new(StoreError::InvalidAnswer))
         .attach("no valid revision header")
 }
@@ -57,6 +61,10 @@
 }
 
 impl StoreCodec for NativeCodec {
+    fn era(&self, headers: &HeaderMap) -> Option<Era> {
+        super::era_header(headers, ERA_HEADER)
+    }
+
     fn encode(&self, call: &StoreCall) -> WireCall {
         match call {
             StoreCall::Get { key } => plain(Method::GET, format!("/v1/kv/{key}"), Bytes::new()),
@@ -96,7 +104,10 @@
     }
 
     fn decode_put(&self, answer: WireAnswer) -> StoreResult<CasOutcome> {
-        let revision = |answer: &WireAnswer| answer.json::<RevisionBody>().map(|b| b.revision);
+        let revision = |answer: &WireAnswer| {
+            let body = answer.json::<RevisionBody>();
+            body.map(|body| answer.revision(body.revision))
+        };
         match answer.status {
             StatusCode::OK => revision(&answer).map(CasOutcome::Stored),
             StatusCode::CONFLICT => revision(&answer).map(CasOutcome::Conflict),
@@ -117,7 +128,10 @@
 
     fn decode_lease(&self, _renewed: Option<LeaseId>, answer: WireAnswer) -> StoreResult<Lease> {
         match answer.status {
-            StatusCode::OK => answer.json().map(GrantBody::into_lease),
+            StatusCode::OK => {
+                let era = answer.era;
+                answer.json().map(|body: GrantBody| body.into_lease(era))
+            }
             StatusCode::GONE => Err(Report::new(StoreError::LeaseLapsed)),
             _ => Err(answer.unexpected_status()),
         }
@@ -128,8 +142,9 @@
             return Err(answer.unexpected_status());
         }
         let body: ListBody = answer.json().change_context(StoreError::InvalidAnswer)?;
+        let entries = body.entries.into_iter();
         Ok(ListPage {
-            entries: body.entries,
+            entries: entries.map(|e| e.into_entry(answer.era)).collect(),
             more: false,
         })
     }
--- a/crates/rhubarblanding_store/src/error.rs
+++ b/crates/rhubarblanding_store/src/error.rs
@@ -18,6 +18,10 @@
     LeaseLapsed,
     /// The changes since the revision given to a watch are no longer kept.
     HistoryGone,
+    /// The service was restored from an older copy since the revision or lease of the call was
+    /// obtained. A write was not applied, or was applied to the restored data; the key has to be
+    /// read.
+    EraChanged,
     /// The service rejected the request as malformed, or its answer to a read violates the
     /// protocol. Nothing was applied.
     InvalidAnswer,
@@ -31,6 +35,7 @@
             Self::ValueTooLarge => "the value is larger than the key-value service accepts",
             Self::LeaseLapsed => "the lease has lapsed",
             Self::HistoryGone => "the history after this revision is no longer kept",
+            Self::EraChanged => "the key-value service was restored from an older copy",
             Self::InvalidAnswer => "the key-value service gave an invalid answer",
         })
     }
--- a/crates/rhubarblanding_store/src/lib.rs
+++ b/crates/rhubarblanding_store/src/lib.rs
@@ -28,7 +28,7 @@
 pub use error::StoreError;
 pub use key::Key;
 pub use value::{
-    CasOutcome, Lease, LeaseId, ListEntry, ListPage, Revision, Versioned, WatchOutcome,
+    CasOutcome, Era, Lease, LeaseId, ListEntry, ListPage, Revision, Versioned, WatchOutcome,
 };
 pub use watch::{WatchLoop, WatchSettings};
 
@@ -38,7 +38,7 @@
     pub use crate::error::StoreError;
     pub use crate::key::Key;
     pub use crate::value::{
-        CasOutcome, Lease, LeaseId, ListEntry, ListPage, Revision, Versioned, WatchOutcome,
+        CasOutcome, Era, Lease, LeaseId, ListEntry, ListPage, Revision, Versioned, WatchOutcome,
     };
     pub use crate::watch::{WatchLoop, WatchSettings};
 }
--- a/crates/rhubarblanding_store/src/watch/mod.rs
+++ b/crates/rhubarblanding_store/src/watch/mod.rs
@@ -5,13 +5,14 @@
 use error_stack::Report;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::backoff::{Backoff, BackoffSettings};
 use crate::client::{StoreClient, StoreResult};
 use crate::error::StoreError;
 use crate::key::Key;
-use crate::value::{Revision, Versioned, WatchOutcome};
+use crate::value::{Era, Revision, Versioned, WatchOutcome};
 
 /// Settings of a [`WatchLoop`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,10 +43,12 @@
 }
 
 /// Watches one key: yields its current value first and then each newer one. Values that are
-/// replaced quickly may be skipped; revisions never decrease.
+/// replaced quickly may be skipped. Revisions never decrease; after the service was restored from
+/// an older copy, the restored value is yielded, though its content may be older.
 #[derive(Debug)]
 pub struct WatchLoop {
     client: StoreClient,
+    era: watch::Receiver<Era>,
     key: Key,
     settings: WatchSettings,
     rng: SmallRng,
@@ -62,6 +65,7 @@
     /// Creates a loop that draws its jitter from `seed`.
     pub fn new(client: StoreClient, key: Key, settings: WatchSettings, seed: u64) -> Self {
         Self {
+            era: client.watch_era(),
             client,
             key,
             settings,
@@ -86,7 +90,14 @@
     pub async fn next(&mut self) -> WatchEvent {
         loop {
             let began_at = Instant::now();
-            match self.call().await {
+            let mut era = self.era.clone();
+            let result = tokio::select! {
+                result = self.call() => result,
+                // A waiting watch may never learn that its position is of an earlier era.
+                Ok(()) = era.changed() => Err(Report::new(StoreError::EraChanged)),
+            };
+            self.era.mark_unchanged();
+            match result {
                 Ok(watched) => {
                     self.record_answer();
                     if let Some(event) = self.advance(watched) {
--- a/crates/rhubarblanding_store/tests/client.rs
+++ b/crates/rhubarblanding_store/tests/client.rs
@@ -91,7 +91,7 @@
     assert_that!(stored, ok(matches_pattern!(CasOutcome::Stored(_))));
     let too_large = vec![b'x'; VALUE_MAX_BYTES + 1];
     let refused = client
-        .compare_and_swap(&key(), Revision(1), too_large.into())
+        .compare_and_swap(&key(), Revision::new(Era(0), 1), too_large.into())
         .await;
     assert_that!(error_of(refused), eq(StoreError::ValueTooLarge));
     assert_that!(server.calls().put, eq(1));
@@ -107,7 +107,7 @@
     });
     assert_that!(error_of(client.get(&key()).await), eq(read));
     let put = client
-        .compare_and_swap(&key(), Revision(1), "two".into())
+        .compare_and_swap(&key(), Revision::new(Era(0), 1), "two".into())
         .await;
     assert_that!(error_of(put), eq(write));
     server.set_faults(Faults::default());
@@ -234,7 +234,7 @@
     assert_that!(watched, matches_pattern!(WatchOutcome::Changed(_)));
     assert_that!(server.calls().watch, eq(1));
     let wait = Duration::from_millis(20);
-    let quiet = client.watch(&key(), Revision(2), wait).await;
+    let quiet = client.watch(&key(), Revision::new(Era(0), 2), wait).await;
     assert_that!(quiet, ok(eq(&WatchOutcome::Unchanged(Revision::ABSENT))));
 }
 
--- a/crates/rhubarblanding_store/tests/watch_loop.rs
+++ b/crates/rhubarblanding_store/tests/watch_loop.rs
@@ -50,7 +50,7 @@
 
 async fn store(client: &StoreClient, expected: u64, value: &'static str) {
     let key = key();
-    let put = client.compare_and_swap(&key, Revision(expected), value.into());
+    let put = client.compare_and_swap(&key, Revision::new(Era(0), expected), value.into());
     assert_that!(put.await, ok(matches_pattern!(CasOutcome::Stored(_))));
 }
 
--- a/crates/rhubarblanding_tickets/src/client.rs
+++ b/crates/rhubarblanding_tickets/src/client.rs
@@ -98,7 +98,8 @@
             Ok(CasOutcome::Stored(_)) => SwapResult::Stored,
             Ok(CasOutcome::Conflict(_)) => SwapResult::Conflict,
             Err(report) => match report.current_context() {
-                StoreError::AnswerLost => SwapResult::AnswerLost,
+                // After a restore, the swap may have been applied to the restored data.
+                StoreError::AnswerLost | StoreError::EraChanged => SwapResult::AnswerLost,
                 _ => SwapResult::NotApplied,
             },
         }
--- a/crates/rhubarblanding_tickets/tests/convergence/store.rs
+++ b/crates/rhubarblanding_tickets/tests/convergence/store.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use rhubarblanding_store::Revision;
+use rhubarblanding_store::{Era, Revision};
 use rhubarblanding_tickets::prelude::*;
 use rhubarblanding_tickets::submit::{StoredDocument, SwapResult};
 
@@ -47,7 +47,7 @@
         let revision = self.stored.len().saturating_sub(age);
         match revision.checked_sub(1).and_then(|at| self.stored.get(at)) {
             Some(document) => StoredDocument {
-                revision: Revision(revision as u64),
+                revision: Revision::new(Era(0), revision as u64),
                 document: document.as_ref().clone(),
             },
             None => StoredDocument::default(),
@@ -80,7 +80,7 @@
     }
 
     fn apply(&mut self, expected: Revision, document: &Arc<Document>) -> SwapResult {
-        let current = Revision(self.stored.len() as u64);
+        let current = Revision::new(Era(0), self.stored.len() as u64);
         if current != expected && !self.blind {
             return SwapResult::Conflict;
         }
--- a/crates/rhubarblanding_tickets/tests/document.rs
+++ b/crates/rhubarblanding_tickets/tests/document.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 use rhubarblanding_core::prelude::*;
-use rhubarblanding_store::Revision;
+use rhubarblanding_store::{Era, Revision};
 use rhubarblanding_tickets::document::{Decision, HISTORY_MAX, SettledVerdict, decide};
 use rhubarblanding_tickets::operator::TicketAnswer;
 use rhubarblanding_tickets::prelude::*;
@@ -200,13 +200,13 @@
     let third = Arc::new(ticket(3, &["c"], &[]));
     let mut submitter = Submitter::new(id(3), third).with_known(Arc::new(two));
     submitter.on_read(&StoredDocument {
-        revision: Revision(9),
+        revision: Revision::new(Era(0), 9),
         document: one,
     });
     let Step::Swap { expected, document } = submitter.step() else {
         panic!("{:?}", submitter.step());
     };
-    assert_that!(expected, eq(Revision(9)));
+    assert_that!(expected, eq(Revision::new(Era(0), 9)));
     assert_that!(document.version(), eq(DocVersion(3)));
     assert_that!(document.service(&name("b")), some(anything()));
 }
--- a/tools/standins/src/store/kv.rs
+++ b/tools/standins/src/store/kv.rs
@@ -36,7 +36,7 @@
     LeaseLapsed,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Entry {
     newest: Snapshot,
     previous: Snapshot,
@@ -57,7 +57,7 @@
 }
 
 /// The whole state of the service.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Kv {
     entries: BTreeMap<String, Entry>,
     leases: HashMap<u64, Lease>,
--- a/tools/standins/src/store/routes.rs
+++ b/tools/standins/src/store/routes.rs
@@ -62,8 +62,14 @@
     entries: Vec<ListEntry>,
 }
 
-/// Answers one request.
+/// Answers one request; the answer reports the era in which it was made.
 pub(super) async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Answered {
+    let mut res = answer(&shared, req).await?;
+    res.headers_mut().insert("x-era", shared.era().into());
+    Ok(res)
+}
+
+async fn answer(shared: &Arc<Shared>, req: Request<Incoming>) -> Answered {
     let (head, body) = req.into_parts();
     let body = match Limited::new(body, VALUE_MAX_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
@@ -72,7 +78,7 @@
     let query = head.uri.query().unwrap_or_default();
     let path = head.uri.path();
     match (&head.method, path) {
-        (&Method::POST, "/v1/faults") => return Ok(set_faults(&shared, &body)),
+        (&Method::POST, "/v1/faults") => return Ok(set_faults(shared, &body)),
         (&Method::POST, "/v1/silence") => {
             shared.silence_connections();
             return Ok(status(StatusCode::NO_CONTENT));
@@ -83,17 +89,17 @@
     }
     if let Some(key) = path.strip_prefix("/v1/kv/") {
         return match head.method {
-            Method::GET => get(&shared, key).await,
-            Method::PUT => put(&shared, key, query, body).await,
+            Method::GET => get(shared, key).await,
+            Method::PUT => put(shared, key, query, body).await,
             _ => Ok(status(StatusCode::METHOD_NOT_ALLOWED)),
         };
     }
     if let Some(key) = path.strip_prefix("/v1/watch/") {
-        return watch(&shared, key, query).await;
+        return watch(shared, key, query).await;
     }
     match path {
-        "/v1/lease" => lease(&shared, &body).await,
-        "/v1/list" => list(&shared, query).await,
+        "/v1/lease" => lease(shared, &body).await,
+        "/v1/list" => list(shared, query).await,
         _ => Ok(status(StatusCode::NOT_FOUND)),
     }
 }
--- a/tools/standins/src/store/server.rs
+++ b/tools/standins/src/store/server.rs
@@ -30,6 +30,8 @@
     faults: Mutex<Faults>,
     calls: Mutex<Calls>,
     changes: watch::Sender<()>,
+    /// Number of times that the service was restored from a copy.
+    era: AtomicU64,
     /// Connections accepted so far.
     accepted: AtomicU64,
     /// Connections up to this number are silent.
@@ -43,6 +45,7 @@
             faults: Mutex::default(),
             calls: Mutex::default(),
             changes: watch::Sender::new(()),
+            era: AtomicU64::new(0),
             accepted: AtomicU64::new(0),
             silent_up_to: AtomicU64::new(0),
         }
@@ -58,6 +61,10 @@
         self.changes.send_replace(());
     }
 
+    pub(super) fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
     pub(super) fn calls(&self) -> Calls {
         *lock(&self.calls)
     }
@@ -170,6 +177,17 @@
         self.shared.silence_connections();
     }
 
+    /// Copies the present state.
+    pub fn copy(&self) -> Kv {
+        self.shared.with_kv(Kv::clone)
+    }
+
+    /// Replaces the state by a copy and begins a new era: what was written since is lost.
+    pub fn restore(&self, copy: Kv) {
+        self.shared.era.fetch_add(1, Ordering::Relaxed);
+        self.shared.change_kv(|kv| *kv = copy);
+    }
+
     /// Counts of calls so far.
     pub fn calls(&self) -> Calls {
         self.shared.calls()
