Break off answers that have no end

Cause: after its first 256 KB an answer is passed on as it comes, and nothing limited that in time: a target that sent a body without end held a slot, a connection and two nodes' processors until the client left (test client: 110 s and more, ended by its memory).

Change: a streamed answer ends as broken off 0.3 s after its deadline, at the entry node and beside the target, whose connection is closed.

--- a/crates/rhubarblanding_mesh/src/connection/mod.rs
+++ b/crates/rhubarblanding_mesh/src/connection/mod.rs
@@ -7,6 +7,6 @@
 mod socket;
 
 pub use backend::{BackendConn, BackendPool, ConnectError, ExchangeError};
-pub use payload::Payload;
+pub use payload::{Payload, PayloadError};
 pub use peer::{PeerError, PeerPool};
 pub use server::{ClientServer, Handler, PeerServer, ResponseFuture, bind};
--- a/crates/rhubarblanding_mesh/src/connection/payload.rs
+++ b/crates/rhubarblanding_mesh/src/connection/payload.rs
@@ -1,6 +1,7 @@
 //! Bodies of answers, buffered or streamed.
 
 use std::collections::VecDeque;
+use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
@@ -8,6 +9,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use rhubarblanding_node::request::body::EndGuard;
+use tokio::time::{Instant, Sleep};
 
 /// Body of an answer.
 pub enum Payload {
@@ -21,9 +23,31 @@
 pub struct PrefixedStream {
     first: VecDeque<Bytes>,
     rest: Incoming,
+    /// Ends the stream if its source does not.
+    limit: Pin<Box<Sleep>>,
     guard: Option<Box<dyn EndGuard>>,
 }
 
+/// Reason for which a streamed body breaks off.
+#[derive(Debug)]
+pub enum PayloadError {
+    /// The source broke off.
+    Source(hyper::Error),
+    /// The source did not end in time.
+    Overdue,
+}
+
+impl fmt::Display for PayloadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Source(e) => e.fmt(f),
+            Self::Overdue => f.write_str("the body did not end in time"),
+        }
+    }
+}
+
+impl std::error::Error for PayloadError {}
+
 impl Payload {
     /// Creates a body without content.
     pub fn empty() -> Self {
@@ -39,9 +63,15 @@
     pub fn stream(
         first: VecDeque<Bytes>,
         rest: Incoming,
+        limit: Instant,
         guard: Option<Box<dyn EndGuard>>,
     ) -> Self {
-        Self::Stream(Box::new(PrefixedStream { first, rest, guard }))
+        Self::Stream(Box::new(PrefixedStream {
+            first,
+            rest,
+            limit: Box::pin(tokio::time::sleep_until(limit)),
+            guard,
+        }))
     }
 }
 
@@ -52,7 +82,11 @@
         }
     }
 
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, PayloadError>>> {
+        if self.limit.as_mut().poll(cx).is_ready() {
+            self.end(false);
+            return Poll::Ready(Some(Err(PayloadError::Overdue)));
+        }
         if let Some(chunk) = self.first.pop_front() {
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
@@ -63,7 +97,7 @@
             Some(Ok(_)) if self.rest.is_end_stream() => self.end(true),
             Some(Ok(_)) => {}
         }
-        Poll::Ready(frame)
+        Poll::Ready(frame.map(|frame| frame.map_err(PayloadError::Source)))
     }
 }
 
@@ -75,12 +109,12 @@
 
 impl Body for Payload {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = PayloadError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, PayloadError>>> {
         match self.get_mut() {
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Stream(stream) => stream.poll(cx),
--- a/crates/rhubarblanding_mesh/src/request/forward.rs
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -7,11 +7,12 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use rhubarblanding_core::prelude::*;
+use tokio::time::Instant;
 
 use super::hop::{
     ANSWER_HEADER, HopOutcome, HopReply, HopRequest, HopResult, HopStatus, REQUEST_HEADER,
 };
-use super::serve::serve_local;
+use super::serve::{STREAM_GRACE, serve_local};
 use super::small_body::{self, SmallBody};
 use crate::connection::{Payload, PeerError};
 use crate::process::Shared;
@@ -21,11 +22,12 @@
     if host == node.host_id() {
         return serve_local(Arc::clone(node), hop).await;
     }
+    let limit = Instant::now() + hop.header.deadline + STREAM_GRACE;
     let Some(req) = build_request(host, hop) else {
         return reply(HopOutcome::Refused(Refusal::new(ErrorKind::InvalidRequest)));
     };
     match node.peers.send(host.0, req).await {
-        Ok(resp) => receive(resp).await,
+        Ok(resp) => receive(resp, limit).await,
         Err(PeerError::NotSent) => {
             reply(HopOutcome::Refused(Refusal::new(ErrorKind::ConnectFailed)))
         }
@@ -56,7 +58,7 @@
     Some(req)
 }
 
-async fn receive(resp: Response<Incoming>) -> HopReply {
+async fn receive(resp: Response<Incoming>, limit: Instant) -> HopReply {
     let (mut parts, body) = resp.into_parts();
     let status = parts
         .headers
@@ -66,7 +68,7 @@
         return reply(HopOutcome::Lost(ErrorKind::Internal));
     };
     let outcome = match status.result {
-        HopResult::Answered => read_answer(parts, body).await,
+        HopResult::Answered => read_answer(parts, body, limit).await,
         HopResult::Refused => HopOutcome::Refused(status.refusal),
         HopResult::Shed => HopOutcome::Shed(status.refusal),
         HopResult::Lost => HopOutcome::Lost(status.refusal.kind),
@@ -79,10 +81,10 @@
 }
 
 /// Buffers a small answer, so that the client gets all of it or a failure.
-async fn read_answer(parts: http::response::Parts, body: Incoming) -> HopOutcome {
+async fn read_answer(parts: http::response::Parts, body: Incoming, limit: Instant) -> HopOutcome {
     let payload = match small_body::read(body).await {
         Ok(SmallBody::Complete(bytes)) => Payload::buffered(bytes),
-        Ok(SmallBody::Partial(first, rest)) => Payload::stream(first, rest, None),
+        Ok(SmallBody::Partial(first, rest)) => Payload::stream(first, rest, limit, None),
         Err(_) => return HopOutcome::Lost(ErrorKind::ConnectionLost),
     };
     HopOutcome::Answered(Response::from_parts(parts, payload))
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -12,6 +12,7 @@
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_membership::prelude::Input;
 use rhubarblanding_node::request::body::EndGuard;
+use tokio::time::Instant;
 
 use super::headers::strip_connection_headers;
 use super::hop::{
@@ -29,6 +30,9 @@
 const BODY_MAX_BYTES: usize = 64 << 20;
 /// Time beyond the deadline for which the target's own answer is awaited.
 const DEADLINE_GRACE: Duration = Duration::from_millis(30);
+/// Time beyond the deadline after which a streamed answer is broken off: bytes of a faulty target may
+/// come without end. The client has left by then.
+pub(super) const STREAM_GRACE: Duration = Duration::from_millis(300);
 /// Maximum number of connections tried for one request. The next one is tried only if nothing was
 /// sent on the last.
 const CONNECT_ATTEMPTS: usize = 3;
@@ -202,7 +206,8 @@
                 if resp.status().is_success() {
                     running.succeeded();
                 }
-                return receive(node, conn, resp, &mut permit, id.as_ref()).await;
+                let limit = node.clock.instant(deadline + STREAM_GRACE);
+                return receive(node, conn, resp, &mut permit, (id.as_ref(), limit)).await;
             }
             Err(ExchangeError::NotSent) => {}
             Err(e) => {
@@ -258,7 +263,7 @@
     conn: BackendConn,
     resp: Response<Incoming>,
     permit: &mut SlotPermit,
-    id: Option<&HeaderValue>,
+    (id, limit): (Option<&HeaderValue>, Instant),
 ) -> HopOutcome {
     let names = node.protocol.headers();
     let (mut parts, body) = resp.into_parts();
@@ -281,7 +286,7 @@
                 conn: Some(conn),
                 _permit: permit.take(),
             };
-            let stream = Payload::stream(first, rest, Some(Box::new(guard)));
+            let stream = Payload::stream(first, rest, limit, Some(Box::new(guard)));
             HopOutcome::Answered(Response::from_parts(parts, stream))
         }
         Err(e) => {
--- a/crates/rhubarblanding_mesh/tests/mesh/target.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/target.rs
@@ -28,6 +28,17 @@
     Extra,
     /// Runs it until the connection is closed, for 3 s at most.
     Work,
+    /// Runs it and sends bytes without end.
+    Endless(Endless),
+}
+
+/// Bytes without end: `start`, then `unit` again and again until the connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Endless {
+    /// Sent once, after the status line and the request's identifier unless it begins with `HTTP`.
+    pub start: &'static str,
+    /// Sent again and again.
+    pub unit: &'static str,
 }
 
 #[derive(Debug, Default)]
@@ -36,6 +47,8 @@
     ran: Vec<String>,
     arrived: usize,
     closed_while_working: Option<Duration>,
+    /// Times after which endless answers ended.
+    endless: Vec<Duration>,
 }
 
 /// A target that runs in the test process.
@@ -98,6 +111,10 @@
                 self.work(&mut stream).await;
                 return;
             }
+            if let Behaviour::Endless(endless) = behaviour {
+                self.send_without_end(&mut stream, &head, endless).await;
+                return;
+            }
             let answer = answer(behaviour, &head);
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
@@ -108,6 +125,26 @@
         }
     }
 
+    /// Times after which the connections of endless answers were closed.
+    pub fn endless(&self) -> Vec<Duration> {
+        lock(&self.recorded).endless.clone()
+    }
+
+    async fn send_without_end(&self, stream: &mut TcpStream, head: &str, endless: Endless) {
+        let began = std::time::Instant::now();
+        let id = header(head, "t-id").unwrap_or_default();
+        let start = match endless.start.starts_with("HTTP") {
+            true => String::new(),
+            false => format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\nt-signature: s\r\n"),
+        };
+        let unit = endless.unit.repeat(16 * 1024 / endless.unit.len());
+        let mut next = start + endless.start;
+        while stream.write_all(next.as_bytes()).await.is_ok() {
+            next.clone_from(&unit);
+        }
+        lock(&self.recorded).endless.push(began.elapsed());
+    }
+
     async fn work(&self, stream: &mut TcpStream) {
         let began = std::time::Instant::now();
         let mut buf = [0; 1];
@@ -160,7 +197,7 @@
     let signed = "t-signature: s\r\n";
     match behaviour {
         Behaviour::Answer => with("200 OK", id, signed, "whole"),
-        Behaviour::Lose | Behaviour::Work => String::new(),
+        Behaviour::Lose | Behaviour::Work | Behaviour::Endless(_) => String::new(),
         Behaviour::Shed => with("503 Service Unavailable", id, "t-not-run: 1\r\n", ""),
         Behaviour::Fail => with("500 Internal Server Error", id, signed, "failed"),
         Behaviour::WrongId => with("200 OK", "another", signed, "foreign"),
