Bound retries by windows of time instead of a refilled bucket

Cause: a bucket that first attempts refill holds a tenth of a second of retries and then 15 % of what still comes.

Change: each node bounds its retries in every window of the bound's length by a share of its first attempts, averaged over that window, the one half a window before and the one before it; windows that end later are checked as if no further request came. In the latest tenth of a window at most half of the first attempts are sent again. Calls of repeated requests are recorded in full, and the share per node follows the number of nodes.

--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -11,7 +11,7 @@
 use rhubarblanding_membership::prelude::{Input, Membership, MembershipSettings, Output, ViewMode};
 use rhubarblanding_node::process::Clock;
 use rhubarblanding_node::process::parking::{Mutex, lock};
-use rhubarblanding_request::budget::{BudgetSettings, BudgetState, RetryBudget};
+use rhubarblanding_request::window::{WindowBudget, WindowSettings};
 use rhubarblanding_routing::prelude::{DrainingUse, RouterSettings};
 use rhubarblanding_store::StoreClient;
 use tokio::sync::{mpsc, watch};
@@ -25,14 +25,14 @@
 use crate::version::Version;
 
 /// Share of the allowed retries per request (`ratio`) that a node uses. The rest covers requests
-/// that were counted but did not arrive, and overdrafts that the budget does not record.
-const RETRY_RATIO_SHARE: f64 = 0.75;
+/// that were counted but did not arrive.
+const RETRY_RATIO_SHARE: f64 = 0.8;
 /// Share of the additional retry allowance (`slack`) that all nodes use together.
 const RETRY_SLACK_SHARE: f64 = 0.5;
 /// Minimum number of nodes assumed to share the retry bound.
 const RETRY_NODES_MIN: usize = 8;
-/// Period whose first attempts may all be retried at once.
-const RETRY_BURST_TIME: Duration = Duration::from_millis(100);
+/// Retries per first attempt in a tenth of the window.
+const RETRY_BURST_RATIO: f64 = 0.5;
 /// Percentage of the retry budget that a retry leaves to more useful ones, for each further call
 /// that must succeed after it.
 const RETRY_RESERVE_PERCENT: u32 = 25;
@@ -76,7 +76,7 @@
     version_changed: watch::Sender<DocVersion>,
     member: Mutex<Member>,
     outputs: mpsc::UnboundedSender<Output>,
-    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    budgets: Mutex<HashMap<ServiceName, WindowBudget>>,
     stopping: AtomicBool,
     refusing_peers: AtomicBool,
     refusing_clients: AtomicBool,
@@ -286,38 +286,36 @@
     pub fn take_retry(&self, service: &ServiceName, calls_left: u32) -> bool {
         let reserve = calls_left.saturating_mul(RETRY_RESERVE_PERCENT);
         let reserve = reserve.min(RETRY_RESERVE_MAX_PERCENT);
-        let taken = self.with_budget(service, |budget, now| {
-            budget.take_with_reserve(now, reserve)
-        });
-        if taken == BudgetState::Available {
+        let taken = self.with_budget(service, |budget, now| budget.take(now, reserve));
+        if taken {
             self.metrics.retried();
         }
-        taken == BudgetState::Available
+        taken
     }
 
     fn with_budget<T>(
         &self,
         service: &ServiceName,
-        update: impl FnOnce(&mut RetryBudget, MonoTime) -> T,
+        update: impl FnOnce(&mut WindowBudget, MonoTime) -> T,
     ) -> T {
         let now = self.clock.now();
+        let bound = self.settings().retry_bound;
+        let nodes = self.with_member(Membership::view_len).max(RETRY_NODES_MIN);
+        let slack = bound.slack * RETRY_SLACK_SHARE / nodes as f64;
         let mut budgets = lock(&self.budgets);
         if let Some(budget) = budgets.get_mut(service) {
+            budget.set_slack(slack);
             return update(budget, now);
         }
-        let bound = self.settings().retry_bound;
-        let nodes = self.with_member(Membership::view_len).max(RETRY_NODES_MIN);
-        let burst = bound.slack * RETRY_SLACK_SHARE / nodes as f64;
-        let settings = BudgetSettings {
-            retries_per_hundred: (bound.ratio * RETRY_RATIO_SHARE * 100.0) as u32,
-            floor_per_second: 0,
-            burst: (burst as u32).max(1),
-            burst_window: RETRY_BURST_TIME,
-            overload_hold: Duration::ZERO,
+        let settings = WindowSettings {
+            window: bound.window,
+            ratio: bound.ratio * RETRY_RATIO_SHARE,
+            slack,
+            burst_ratio: RETRY_BURST_RATIO,
         };
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(now, settings));
+            .or_insert_with(|| WindowBudget::new(now, settings));
         update(budget, now)
     }
 }
--- a/crates/rhubarblanding_mesh/src/settings/mod.rs
+++ b/crates/rhubarblanding_mesh/src/settings/mod.rs
@@ -31,6 +31,8 @@
     pub ratio: f64,
     /// Retries allowed in addition, per window.
     pub slack: f64,
+    /// Window in which retries and requests are counted.
+    pub window: Duration,
 }
 
 /// Settings of one process.
--- a/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
@@ -202,6 +202,7 @@
         retry_bound: RetryBound {
             ratio: 0.2,
             slack: 48.0,
+            window: Duration::from_secs(10),
         },
         source: "none".into(),
     };
--- a/crates/rhubarblanding_request/src/lib.rs
+++ b/crates/rhubarblanding_request/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod context;
 pub mod reason;
+pub mod window;
 
 /// Commonly used items of this crate.
 pub mod prelude {
@@ -24,4 +25,5 @@
     pub use crate::budget::{BudgetSettings, BudgetState, RetryBudget};
     pub use crate::context::RequestContext;
     pub use crate::reason::{RetryCounts, RetryReason};
+    pub use crate::window::{WindowBudget, WindowSettings};
 }
