--- a/crates/rhubarblanding_routing/src/table/lookup.rs
+++ b/crates/rhubarblanding_routing/src/table/lookup.rs
@@ -90,15 +90,34 @@
         self.configuration.routes.get(key.index())
     }
 
-    /// Finds the route with the longest matching path prefix. `host` may include a port.
-    pub fn find(&self, host: &str, path: &str) -> RouteMatch {
+    /// Iterates over all valid routes that match, longest prefix first.
+    pub fn matching(&self, host: &str, path: &str) -> impl Iterator<Item = &Route> {
+        let matching = self
+            .slots(host)
+            .filter(move |slot| self.begins(**slot, path));
+        matching.filter_map(|slot| match slot {
+            Slot::Route(key) => self.route(*key),
+            Slot::Unusable(_) => None,
+        })
+    }
+
+    fn begins(&self, slot: Slot, path: &str) -> bool {
+        path.starts_with(prefix(&self.configuration, slot))
+    }
+
+    /// Iterates over the routes of `host`, longest prefix first.
+    fn slots(&self, host: &str) -> impl Iterator<Item = &Slot> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let slots = self
             .by_host
             .get(name)
             .or_else(|| self.by_host.get(&name.to_ascii_lowercase()));
-        let matches = |slot: &&Slot| path.starts_with(prefix(&self.configuration, **slot));
-        match slots.and_then(|slots| slots.iter().find(matches)) {
+        slots.into_iter().flatten()
+    }
+
+    /// Finds the route with the longest matching path prefix. `host` may include a port.
+    pub fn find(&self, host: &str, path: &str) -> RouteMatch {
+        match self.slots(host).find(|slot| self.begins(**slot, path)) {
             Some(Slot::Route(key)) => RouteMatch::Route(*key),
             Some(Slot::Unusable(_)) => RouteMatch::Unusable,
             None if self.configuration.has_unplaced_routes => RouteMatch::Unusable,
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -9,7 +9,7 @@
 use uuid::Uuid;
 
 use super::exit::Exit;
-use super::{command, output, submit};
+use super::{command, output, route, submit};
 
 /// Result of checking one file or the settings.
 #[derive(Debug, Serialize)]
@@ -29,6 +29,7 @@
     if matches.get_flag("settings") {
         reports.push(check_settings());
     }
+    reports.extend(command::configuration_path(matches).map(check_configuration));
     match command::wants_json(matches) {
         true => output::json(&reports),
         false => reports.iter().for_each(print),
@@ -62,6 +63,23 @@
     }
 }
 
+/// Checks a configuration of `rhubarblanding mesh`; its faults are those that a node logs.
+fn check_configuration(path: &Path) -> CheckReport {
+    let checked = path.display().to_string();
+    let faults = match route::read(path) {
+        Ok(configuration) => {
+            let findings = configuration.findings.iter();
+            findings.map(|e| format!("{checked}: {e}")).collect()
+        }
+        Err(reason) => vec![reason],
+    };
+    CheckReport {
+        checked,
+        ticket: None,
+        faults,
+    }
+}
+
 fn check_settings() -> CheckReport {
     let command = rhubarblanding_node::settings::command();
     let checked = "settings in the environment".to_owned();
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -1,7 +1,7 @@
 //! Definition of the subcommands and their arguments.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
 
 Exit codes:
   0  done: accepted, valid or printed
-  1  the ticket is refused
+  1  the ticket is refused, or no valid route matches
   2  the arguments or a file are not valid
   3  the outcome is not yet known, or a ticket is not yet in force at every queried node
   4  no queried node gave an answer";
@@ -58,6 +58,7 @@
         .subcommand(log_level())
         .subcommand(check())
         .subcommand(explain_command())
+        .subcommand(route())
         .subcommand(completions_command())
 }
 
@@ -85,6 +86,42 @@
         )
 }
 
+fn route() -> Command {
+    Command::new("route")
+        .about("Shows which route of a configuration a request follows, and why")
+        .after_help(
+            "Example:\n  rhubarblanding route shop.example /orders/7 --configuration config.json",
+        )
+        .arg(
+            Arg::new("host")
+                .value_name("HOST")
+                .required(true)
+                .help("Host header of the request"),
+        )
+        .arg(
+            Arg::new("path")
+                .value_name("PATH")
+                .required(true)
+                .help("Path of the request"),
+        )
+        .arg(configuration_arg().required(true))
+        .arg(json_arg())
+}
+
+fn configuration_arg() -> Arg {
+    Arg::new("configuration")
+        .long("configuration")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Configuration of `rhubarblanding mesh`, as the operators write it")
+}
+
+/// Returns the path given with `--configuration`.
+pub fn configuration_path(matches: &ArgMatches) -> Option<&Path> {
+    let path = matches.get_one::<PathBuf>("configuration");
+    path.map(PathBuf::as_path)
+}
+
 fn ticket() -> Command {
     Command::new("ticket")
         .about("Submits and shows change tickets")
@@ -164,7 +201,7 @@
             Arg::new("file")
                 .value_name("FILE")
                 .num_args(1..)
-                .required_unless_present("settings")
+                .required_unless_present_any(["settings", "configuration"])
                 .value_parser(value_parser!(PathBuf))
                 .help("Ticket files"),
         )
@@ -174,6 +211,7 @@
                 .action(ArgAction::SetTrue)
                 .help("Check the settings of a node in the environment, RHUBARBLANDING_*"),
         )
+        .arg(configuration_arg())
         .arg(json_arg())
 }
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,6 +9,7 @@
 mod exit;
 mod explain;
 mod output;
+mod route;
 mod status;
 mod submit;
 mod ticket;
@@ -76,6 +77,7 @@
         match name {
             "check" => check::run(matches),
             "explain" => explain::run(matches),
+            "route" => route::run(matches),
             "completions" => command::completions(self.command(), matches),
             "ticket" => match matches.subcommand() {
                 Some(("submit", matches)) => client::block_on(submit::run(matches)),
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -13,6 +13,7 @@
 
 use node::{LITORAL, Node, numbered_ticket, run_program};
 
+const ROUTES: &str = "tests/data/routes.json";
 const KERALA: &str = "examples/tickets/kerala.json";
 
 fn ends_with_code(args: &[&str], code: i32, expected: &str) {
@@ -37,6 +38,20 @@
     request_without_lines: (
         &["explain", "r", "tests/data/explain.log"], 2, "no line is about request r"
     );
+    route_of_a_request: (
+        &["route", "a.example", "/x/y/1", "--configuration", ROUTES], 0,
+        "route r-long: longest prefix /x/y/ of host a.example"
+    );
+    route_with_shares: (&["route", "b.example", "/y/", "--configuration", ROUTES], 0, "to lovo: 10 %");
+    route_that_is_shadowed: (
+        &["route", "a.example:80", "/x/y/1", "--configuration", ROUTES], 0, "shorter prefix: r-short /x/"
+    );
+    route_as_json: (&["route", "--json", "a.example", "/x/1", "--configuration", ROUTES], 0, "\"name\": \"r-short\"");
+    route_with_a_fault: (&["route", "c.example", "/z/1", "--configuration", ROUTES], 1, "503 unusable_route");
+    no_route: (&["route", "a.example", "/other/", "--configuration", ROUTES], 1, "404 unknown_route");
+    route_without_configuration: (&["route", "a.example", "/x/"], 2, "--configuration");
+    route_of_a_broken_file: (&["route", "a.example", "/x/", "--configuration", "Cargo.toml"], 2, "Cargo.toml: ");
+    configuration_with_a_fault: (&["check", "--configuration", ROUTES], 2, "routes[3].timeout_ms");
     missing_log_file: (&["explain", "r1", "none.log"], 2, "none.log: ");
     nothing_to_check: (&["check"], 2, "<FILE>");
     no_subcommand: (&[], 2, "Examples:");
