Test a restart after the time of day went back

Cause: the voting platform's clocks jump back and forth by seconds and more, and a node's incarnation is taken from the time of day; nothing showed that a process which starts with a lower incarnation than the one before it is taken for a later one.

--- a/crates/rhubarblanding_membership/tests/common/mod.rs
+++ b/crates/rhubarblanding_membership/tests/common/mod.rs
@@ -87,6 +87,14 @@
         self.announce(node, TargetState::Serving);
     }
 
+    /// Restarts a node whose time of day went back to before its earlier start.
+    pub fn restart_in_the_past(&mut self, node: usize) {
+        self.net.kill(NodeKey(node));
+        let later = std::mem::take(&mut self.next_incarnation);
+        self.start(node);
+        self.next_incarnation = later;
+    }
+
     pub fn announce(&mut self, node: usize, state: TargetState) {
         let slots = SLOTS;
         self.input(NodeKey(node), Input::Announce { state, slots });
--- a/crates/rhubarblanding_membership/tests/spreading.rs
+++ b/crates/rhubarblanding_membership/tests/spreading.rs
@@ -162,3 +162,19 @@
         .map(Membership::view_len);
     expect_that!(sizes.collect::<Vec<_>>(), each(eq(&20)));
 }
+
+/// A process whose time of day went back before its restart begins with a lower incarnation than the
+/// one before it; it must not be taken for that one.
+#[test]
+fn a_restart_after_the_time_of_day_went_back_is_known() {
+    let mut fleet = started(17, Faults::default(), MembershipSettings::default());
+    let before = fleet.member(7).map(Membership::incarnation);
+    fleet.restart_in_the_past(7);
+    let is_known = |fleet: &Fleet| {
+        let raised = fleet.member(7).map(Membership::incarnation) > before;
+        raised && fleet.complete()
+    };
+    let took = fleet.run_until(START_LIMIT, is_known);
+    println!("known after {took:?}");
+    assert_that!(took, some(anything()));
+}
