Log what a target says of itself in its answers

The headers with a target's rate limit and its departure were passed on and read nowhere, so that no log line told whether a limit was unknown, shared badly or forgotten. The adapter decodes them now; the node beside the target logs each change and serves the limit as a gauge. No decision depends on it yet.

--- a/crates/rhubarblanding_admission/src/slots/mod.rs
+++ b/crates/rhubarblanding_admission/src/slots/mod.rs
@@ -7,6 +7,8 @@
 mod gate;
 mod open_limit;
 mod queue;
+mod rate;
 
 pub use estimate::KindKey;
 pub use gate::{SlotArrival, SlotDecision, SlotEvent, SlotGate, SlotInputs, SlotSettings};
+pub use rate::{InvalidRate, RequestRate};
--- a/crates/rhubarblanding_mesh/src/process/events.rs
+++ b/crates/rhubarblanding_mesh/src/process/events.rs
@@ -6,7 +6,9 @@
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_routing::prelude::TargetId;
 
+use super::notice::NoticeChange;
 use super::shared::Shared;
+use crate::protocol::{Instance, RateNotice, RequestRate, TargetNotice};
 use crate::request::HopHeader;
 
 /// Stage at which a request ended without an answer of a target.
@@ -151,4 +153,30 @@
             "target_failed"
         );
     }
+
+    /// Logs what changed with the notices in an answer of the local target.
+    pub fn log_notice(
+        &self,
+        instance: &Instance,
+        before: Option<RequestRate>,
+        notice: TargetNotice,
+        change: NoticeChange,
+    ) {
+        if notice.rate == RateNotice::Invalid {
+            log::warn!(instance:% = instance.id; "target_rate_invalid");
+        }
+        if let Some(rate) = change.rate {
+            self.metrics.set_target_rate(rate);
+            let text =
+                |rate: Option<RequestRate>| rate.map_or("none".to_owned(), |r| r.to_string());
+            log::info!(
+                instance:% = instance.id, born = instance.started_at.0, per_s = text(rate),
+                before = text(before);
+                "target_rate_limited"
+            );
+        }
+        if change.began_leaving {
+            log::info!(instance:% = instance.id, born = instance.started_at.0; "target_leaving");
+        }
+    }
 }
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -13,8 +13,9 @@
 
 use super::instance::{Confirmation, InstanceTracker, ReportVerdict};
 use super::lineage::{Lineage, RunningRequests};
+use super::notice::NoticeTracker;
 use super::shared::Shared;
-use crate::protocol::{Instance, InstanceId, InstanceLeave, InstanceReport};
+use crate::protocol::{Instance, InstanceId, InstanceLeave, InstanceReport, TargetNotice};
 use crate::request::HopHeader;
 
 /// Time after a refused connection during which the target counts as down.
@@ -30,6 +31,7 @@
     next_id: u64,
     unreachable_until: MonoTime,
     running: RunningRequests,
+    notices: NoticeTracker,
 }
 
 /// Local target of a node.
@@ -41,7 +43,7 @@
 /// Permit for one request at the target. Dropping it frees the slot.
 pub struct SlotPermit {
     slot: Option<Slot>,
-    instance: InstanceId,
+    instance: Instance,
 }
 
 struct Slot {
@@ -52,7 +54,7 @@
 
 impl SlotPermit {
     /// Returns the instance that the request is addressed to.
-    pub fn instance(&self) -> &InstanceId {
+    pub fn instance(&self) -> &Instance {
         &self.instance
     }
 
@@ -125,6 +127,7 @@
             next_id: 0,
             unreachable_until: MonoTime::ZERO,
             running: RunningRequests::default(),
+            notices: NoticeTracker::default(),
         };
         Self {
             state: Mutex::new(state),
@@ -190,10 +193,7 @@
             id,
             answered: false,
         };
-        let instance = lock(&self.state)
-            .tracker
-            .serving()
-            .map(|serving| serving.id.clone());
+        let instance = lock(&self.state).tracker.serving().cloned();
         let Some(instance) = instance else {
             return Err(Refusal::new(ErrorKind::TargetDraining));
         };
@@ -300,6 +300,21 @@
         state.dispatch(now);
     }
 
+    /// Applies the notices in an answer of `instance` to a request that was sent at `sent_at`.
+    pub fn observe_notice(
+        &self,
+        node: &Shared,
+        instance: &Instance,
+        sent_at: MonoTime,
+        notice: TargetNotice,
+    ) {
+        let now = node.clock.now();
+        let mut state = lock(&self.state);
+        let before = state.notices.rate();
+        let change = state.notices.observe(now, instance, sent_at, notice);
+        node.log_notice(instance, before, notice, change);
+    }
+
     /// Records a request as running at the target until the guard is dropped.
     pub fn record_running(
         &self,
@@ -385,6 +400,7 @@
         let verdict = self.tracker.report(&service, report);
         match verdict {
             ReportVerdict::NewInstance => {
+                self.notices = NoticeTracker::new(&report.instance);
                 self.unreachable_until = MonoTime::ZERO;
                 self.gate.restart();
                 node.backend.clear();
--- a/crates/rhubarblanding_mesh/src/process/metrics.rs
+++ b/crates/rhubarblanding_mesh/src/process/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a process, and their text form.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -10,6 +11,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use rhubarblanding_admission::slots::RequestRate;
 use rhubarblanding_core::prelude::*;
 use strum::IntoEnumIterator;
 
@@ -18,6 +20,9 @@
     0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
 ];
 
+/// Value of the gauge of the target's rate limit while it names none.
+const NO_RATE: f64 = -1.0;
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ReasonLabel {
     reason: &'static str,
@@ -39,6 +44,7 @@
     cancelled: Counter,
     configurations_refused: Counter,
     configuration_findings: Gauge,
+    target_rate: Gauge<f64, AtomicU64>,
 }
 
 impl Default for Metrics {
@@ -90,6 +96,10 @@
             help,
             configuration_findings.clone(),
         );
+        let target_rate = Gauge::<f64, AtomicU64>::default();
+        target_rate.set(NO_RATE);
+        let help = "Requests per second that the local target takes; -1 if it names no limit";
+        registry.register("target_rate_limit", help, target_rate.clone());
         Self {
             registry,
             refusals,
@@ -100,6 +110,7 @@
             cancelled,
             configurations_refused,
             configuration_findings,
+            target_rate,
         }
     }
 }
@@ -144,6 +155,12 @@
         self.configuration_findings.set(findings as i64);
     }
 
+    /// Sets the rate limit that the local target names.
+    pub fn set_target_rate(&self, rate: Option<RequestRate>) {
+        let per_second = rate.map_or(NO_RATE, RequestRate::per_second);
+        self.target_rate.set(per_second);
+    }
+
     /// Returns all values in the OpenMetrics text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/rhubarblanding_mesh/src/protocol/mod.rs
+++ b/crates/rhubarblanding_mesh/src/protocol/mod.rs
@@ -1,11 +1,15 @@
 //! Interface of an adapter to a platform: header names, and decoding of the platform's messages.
 
+mod notice;
+
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderName, Method, StatusCode};
+use http::{HeaderMap, HeaderName, Method, StatusCode};
+pub use notice::{RateNotice, TargetNotice};
+pub use rhubarblanding_admission::slots::{InvalidRate, RequestRate};
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_routing::table::Configuration;
 use rhubarblanding_store::Key;
@@ -129,6 +133,9 @@
     /// from the call's own identifier. Empty if the platform's identifiers don't contain them.
     fn possible_parents<'a>(&self, request_id: &'a [u8]) -> Vec<&'a [u8]>;
 
+    /// Decodes the notices in the headers of a target's answer.
+    fn notice(&self, headers: &HeaderMap) -> TargetNotice;
+
     /// Decodes a call of the local target.
     ///
     /// # Errors
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -22,7 +22,7 @@
 use super::small_body::{self, SmallBody, read_logged};
 use crate::connection::{BackendConn, ExchangeError, Payload};
 use crate::process::{Lineage, Shared, SlotPermit};
-use crate::protocol::InstanceId;
+use crate::protocol::Instance;
 
 /// Maximum size of a membership message, in bytes.
 const GOSSIP_MAX_BYTES: usize = 4 << 20;
@@ -216,7 +216,12 @@
                     running.succeeded();
                 }
                 let limit = node.clock.instant(deadline + STREAM_GRACE);
-                return receive(node, conn, resp, &mut permit, (id.as_ref(), limit)).await;
+                let sent = Sent {
+                    id: id.as_ref(),
+                    at: now,
+                    limit,
+                };
+                return receive(node, conn, resp, &mut permit, sent).await;
             }
             Err(ExchangeError::NotSent) => {}
             Err(e) => {
@@ -245,7 +250,7 @@
     set_header(
         headers,
         names.expected_instance.clone(),
-        &permit.instance().0,
+        &permit.instance().id.0,
     );
     req
 }
@@ -259,13 +264,21 @@
     }
 }
 
+/// Request that was sent to the target.
+struct Sent<'a> {
+    id: Option<&'a HeaderValue>,
+    at: MonoTime,
+    /// Time at which a streamed answer is broken off.
+    limit: Instant,
+}
+
 /// Reads the answer of the target; buffers it if it is small.
 async fn receive(
     node: &Arc<Shared>,
     conn: BackendConn,
     resp: Response<Incoming>,
     permit: &mut SlotPermit,
-    (id, limit): (Option<&HeaderValue>, Instant),
+    Sent { id, at, limit }: Sent<'_>,
 ) -> HopOutcome {
     let names = node.protocol.headers();
     let (mut parts, body) = resp.into_parts();
@@ -274,6 +287,9 @@
         node.log_target_failure(id, "answer_of_another_request");
         return HopOutcome::Lost(ErrorKind::ConnectionLost);
     }
+    let notice = node.protocol.notice(&parts.headers);
+    node.local
+        .observe_notice(node, permit.instance(), at, notice);
     match small_body::read(body).await {
         Ok(SmallBody::Complete(bytes)) => {
             permit.answered(parts.status);
@@ -306,7 +322,7 @@
     node: &Arc<Shared>,
     mut parts: http::response::Parts,
     body: Bytes,
-    instance: &InstanceId,
+    instance: &Instance,
     id: Option<&HeaderValue>,
 ) -> HopOutcome {
     if parts.headers.contains_key(header::CONTENT_ENCODING) {
@@ -317,7 +333,7 @@
     }
     if is_not_run(node, parts.status, &parts.headers) {
         if parts.status == StatusCode::MISDIRECTED_REQUEST {
-            node.local.record_misdirected(node, instance);
+            node.local.record_misdirected(node, &instance.id);
         }
         return HopOutcome::Shed(Refusal::new(ErrorKind::BackendShed));
     }
--- a/crates/rhubarblanding_mesh/tests/mesh/protocol.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/protocol.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderName, Method, StatusCode};
+use http::{HeaderMap, HeaderName, Method, StatusCode};
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_mesh::protocol::{
     ControlCall, ControlReply, DecodeError, HeaderNames, Instance, InstanceId, InstanceLeave,
-    InstanceReport, Protocol, ReportedState,
+    InstanceReport, Protocol, RateNotice, ReportedState, RequestRate, TargetNotice,
 };
 use rhubarblanding_routing::table::{Configuration, RawBackend, RawConfiguration, RawRoute};
 use rhubarblanding_store::Key;
@@ -62,6 +62,17 @@
         dot.map(|dot| &request_id[..dot]).into_iter().collect()
     }
 
+    fn notice(&self, headers: &HeaderMap) -> TargetNotice {
+        let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+        let rate = text("t-rate").map_or(RateNotice::None, |raw| {
+            RequestRate::try_from(raw).map_or(RateNotice::Invalid, RateNotice::Limit)
+        });
+        TargetNotice {
+            rate,
+            leaving: text("t-leaving") == Some("1"),
+        }
+    }
+
     /// `report SERVICE ID STARTED_AT SEQUENCE ready|draining SLOTS` or `leave ID`.
     fn control_call(&self, _: &Method, _: &str, body: &[u8]) -> Result<ControlCall, DecodeError> {
         let text = std::str::from_utf8(body).map_err(|_| invalid("not text"))?;
