Add failing tests of a target's rate limit and departure notices

A target that names a limit of 10 requests a second gets 251 in 4 s of 62.5 sent a second to two nodes (allowed 65), whether it answers, fails or rejects; one that says that it is leaving goes on to get half of all requests.

--- a/crates/rhubarblanding_mesh/tests/mesh/main.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
 
 mod fleet;
+mod notices;
 mod protocol;
 mod target;
 
--- a/crates/rhubarblanding_mesh/tests/mesh/target.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/target.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -47,7 +47,8 @@
 struct Recorded {
     /// Heads of the requests that were run.
     ran: Vec<String>,
-    arrived: usize,
+    /// Times at which requests arrived.
+    arrived: Vec<Instant>,
     closed_while_working: Option<Duration>,
     /// Times after which endless answers ended.
     endless: Vec<Duration>,
@@ -58,6 +59,8 @@
 pub struct Target {
     pub addr: SocketAddr,
     behaviour: Arc<Mutex<Behaviour>>,
+    /// Header lines added to each answer.
+    notice: Arc<Mutex<String>>,
     recorded: Arc<Mutex<Recorded>>,
 }
 
@@ -71,6 +74,7 @@
         let target = Self {
             addr: listener.local_addr()?,
             behaviour: Arc::new(Mutex::new(Behaviour::Answer)),
+            notice: Arc::default(),
             recorded: Arc::default(),
         };
         let accepting = target.clone();
@@ -87,6 +91,14 @@
         *lock(&self.behaviour) = behaviour;
     }
 
+    /// Adds header lines to each answer, for example `t-rate: 5`; none if empty.
+    pub fn give_notice(&self, lines: &str) {
+        *lock(&self.notice) = match lines {
+            "" => String::new(),
+            lines => format!("{lines}\r\n"),
+        };
+    }
+
     /// Heads of the requests that were run.
     pub fn ran(&self) -> Vec<String> {
         lock(&self.recorded).ran.clone()
@@ -94,7 +106,17 @@
 
     /// Number of requests that arrived.
     pub fn arrived(&self) -> usize {
-        lock(&self.recorded).arrived
+        lock(&self.recorded).arrived.len()
+    }
+
+    /// Number of requests that arrived in `[from, to)`.
+    pub fn arrived_between(&self, from: Instant, to: Instant) -> usize {
+        let recorded = lock(&self.recorded);
+        recorded
+            .arrived
+            .iter()
+            .filter(|at| **at >= from && **at < to)
+            .count()
     }
 
     /// Time after which a connection was closed while its request ran.
@@ -105,7 +127,7 @@
     async fn serve(&self, mut stream: TcpStream) {
         let mut last_answer = String::new();
         while let Some(head) = read_request(&mut stream).await {
-            lock(&self.recorded).arrived += 1;
+            lock(&self.recorded).arrived.push(Instant::now());
             let behaviour = *lock(&self.behaviour);
             if behaviour != Behaviour::Shed {
                 lock(&self.recorded).ran.push(head.clone());
@@ -118,7 +140,8 @@
                 self.send_without_end(&mut stream, &head, endless).await;
                 return;
             }
-            let mut answer = answer(behaviour, &head);
+            let notice = lock(&self.notice).clone();
+            let mut answer = answer(behaviour, &head, &notice);
             if behaviour == Behaviour::LateCopy {
                 let own = answer.clone();
                 answer.insert_str(0, &std::mem::replace(&mut last_answer, own));
@@ -138,7 +161,7 @@
     }
 
     async fn send_without_end(&self, stream: &mut TcpStream, head: &str, endless: Endless) {
-        let began = std::time::Instant::now();
+        let began = Instant::now();
         let id = header(head, "t-id").unwrap_or_default();
         let start = match endless.start.starts_with("HTTP") {
             true => String::new(),
@@ -153,7 +176,7 @@
     }
 
     async fn work(&self, stream: &mut TcpStream) {
-        let began = std::time::Instant::now();
+        let began = Instant::now();
         let mut buf = [0; 1];
         let read = tokio::time::timeout(Duration::from_secs(3), stream.read(&mut buf)).await;
         if read.is_ok() {
@@ -193,11 +216,11 @@
     Some(head)
 }
 
-fn answer(behaviour: Behaviour, head: &str) -> String {
+fn answer(behaviour: Behaviour, head: &str, notice: &str) -> String {
     let id = header(head, "t-id").unwrap_or_default();
     let with = |status: &str, id: &str, extra_headers: &str, body: &str| {
         format!(
-            "HTTP/1.1 {status}\r\nt-id: {id}\r\n{extra_headers}content-length: {}\r\n\r\n{body}",
+            "HTTP/1.1 {status}\r\nt-id: {id}\r\n{notice}{extra_headers}content-length: {}\r\n\r\n{body}",
             body.len()
         )
     };
