Keep the rate limit that a target names

Callers saw nothing; targets in need got up to 2.3 times what they had asked for. Cause: the rate that a target names in its answers was no input of any decision. The gate admits by slots, and a target that slows down or answers fast keeps free slots. Class: what a target says of itself while it serves is state, and had no owner.

The node beside the target is the only way to it and owns that state now. Its gate spaces requests by the rate, refuses what would start too late, and reports the slots that the rate fills, so that other targets are preferred.

--- a/crates/rhubarblanding_admission/src/slots/gate.rs
+++ b/crates/rhubarblanding_admission/src/slots/gate.rs
@@ -4,10 +4,11 @@
 
 use rhubarblanding_core::prelude::*;
 
-use super::KindKey;
 use super::estimate::HoldTimes;
 use super::open_limit::OpenLimits;
+use super::pacer::Pacer;
 use super::queue::{Queue, Waiting};
+use super::{KindKey, RequestRate};
 
 /// Open requests that each kind is always allowed, on a target with few slots.
 const OPEN_MIN: u32 = 3;
@@ -99,6 +100,8 @@
     pub open: u32,
     /// Requests of the kind completed in the last second.
     pub completed_per_s: f64,
+    /// Rate limit that the backend server names.
+    pub rate: Option<RequestRate>,
 }
 
 /// Decision on a queued request.
@@ -125,6 +128,7 @@
     queue: Queue,
     hold_times: HoldTimes,
     open_limits: OpenLimits,
+    pacer: Pacer,
     timers: TimerService<u64>,
     events: Vec<SlotEvent>,
 }
@@ -139,6 +143,7 @@
             queue: Queue::default(),
             hold_times: HoldTimes::default(),
             open_limits: OpenLimits::default(),
+            pacer: Pacer::default(),
             timers: TimerService::new(),
             events: Vec::new(),
         }
@@ -151,9 +156,18 @@
         self.fill(now);
     }
 
-    /// Clears the estimated hold times, after a restart of the backend server.
-    pub fn restart(&mut self) {
+    /// Sets the rate limit that the backend server names; `None` lifts it. Waiting requests that
+    /// cannot start in time at the new rate are refused.
+    pub fn set_rate(&mut self, now: MonoTime, rate: Option<RequestRate>) {
+        self.pacer.set_rate(now, rate);
+        self.refuse_hopeless(now);
+        self.fill(now);
+    }
+
+    /// Clears the estimated hold times and the rate limit, after a restart of the backend server.
+    pub fn restart(&mut self, now: MonoTime) {
         self.hold_times.clear();
+        self.pacer.set_rate(now, None);
     }
 
     /// Decides on a request. Refusals are final and immediate.
@@ -167,7 +181,7 @@
             let wait = self.open_limits.completion_interval(now, arrival.kind);
             return SlotDecision::Refused(self.refusal(wait));
         }
-        if self.queue.len() == 0 && self.has_free_slot() {
+        if self.queue.len() == 0 && self.can_start(now) {
             self.open_limits.record_opened(arrival.kind);
             self.start(now, arrival);
             return SlotDecision::Admitted;
@@ -238,8 +252,12 @@
     }
 
     /// Returns the time by which [`poll`](Self::poll) must be called.
-    pub fn next_due(&self) -> Option<MonoTime> {
-        self.timers.next_due()
+    pub fn next_due(&self, now: MonoTime) -> Option<MonoTime> {
+        let paced = match self.queue.len() > 0 && self.has_free_slot() {
+            true => self.pacer.wait_until(now),
+            false => None,
+        };
+        [self.timers.next_due(), paced].into_iter().flatten().min()
     }
 
     /// Returns the current inputs of a decision on a request of `kind`.
@@ -251,15 +269,16 @@
             hold: self.hold_times.estimate(now, kind),
             open: self.open_limits.open(kind),
             completed_per_s: self.open_limits.rate(kind),
+            rate: self.pacer.rate(),
         }
     }
 
     /// Returns the load to be reported.
-    pub fn load(&self) -> LoadReport {
+    pub fn load(&self, now: MonoTime) -> LoadReport {
         LoadReport {
             in_flight: self.running.len() as u32,
             queued: self.queue.len() as u32,
-            limit: self.slots,
+            limit: self.usable_slots(now),
             ..LoadReport::default()
         }
     }
@@ -317,7 +336,7 @@
     }
 
     fn fill(&mut self, now: MonoTime) {
-        while self.has_free_slot() {
+        while self.can_start(now) {
             let Some(waiting) = self.queue.pop() else {
                 return;
             };
@@ -350,6 +369,7 @@
     }
 
     fn start(&mut self, now: MonoTime, arrival: SlotArrival) {
+        self.pacer.started(now);
         let running = Running {
             kind: arrival.kind,
             since: now,
@@ -357,6 +377,10 @@
         self.running.insert(arrival.id, running);
     }
 
+    fn can_start(&self, now: MonoTime) -> bool {
+        self.has_free_slot() && self.pacer.wait_until(now).is_none()
+    }
+
     fn has_free_slot(&self) -> bool {
         (self.running.len() as u32) < self.slots
     }
@@ -377,7 +401,42 @@
     /// Returns the expected time until a slot is free for a request with `ahead` others before it.
     fn expected_wait(&self, now: MonoTime, ahead: usize) -> Duration {
         let rounds = (ahead as f64 + 1.0) / f64::from(self.slots.max(1));
-        self.hold_times.overall(now).mul_f64(rounds)
+        let for_slot = self.hold_times.overall(now).mul_f64(rounds);
+        for_slot.max(self.pacer.time_for(now, ahead + 1))
+    }
+
+    /// Returns the number of slots that the rate limit lets fill.
+    fn usable_slots(&self, now: MonoTime) -> u32 {
+        let Some(rate) = self.pacer.rate() else {
+            return self.slots;
+        };
+        let held = rate.per_second() * self.hold_times.overall(now).as_secs_f64();
+        (held.ceil() as u32).clamp(self.slots.min(1), self.slots)
+    }
+
+    /// Refuses the waiting requests that the rate limit lets start only when it is too late.
+    fn refuse_hopeless(&mut self, now: MonoTime) {
+        let mut kept = 0;
+        for id in self.queue.ids() {
+            let Some(waiting) = self.queue.get(id).copied() else {
+                continue;
+            };
+            let SlotArrival { kind, deadline, .. } = waiting.arrival;
+            let wait = self.pacer.time_for(now, kept + 1);
+            if now + wait < self.latest_start(now, deadline, kind) {
+                kept += 1;
+                continue;
+            }
+            self.queue.remove(id);
+            self.timers.cancel(waiting.timer);
+            let refusal = self.refusal(wait);
+            self.refuse(now, &waiting.arrival, refusal);
+        }
+    }
+
+    /// Returns `true` while the backend server names a rate limit.
+    pub fn is_paced(&self) -> bool {
+        self.pacer.rate().is_some()
     }
 
     fn refusal(&self, wait: Duration) -> Refusal {
--- a/crates/rhubarblanding_admission/src/slots/mod.rs
+++ b/crates/rhubarblanding_admission/src/slots/mod.rs
@@ -1,11 +1,13 @@
 //! Admission gate of a backend server that announces how many requests it runs at a time.
 //!
 //! [`SlotGate`] assigns the announced slots. A request that finds no free slot waits in a priority
-//! queue, or is refused at once if it would get a slot too late.
+//! queue, or is refused at once if it would get a slot too late. While the backend server names a rate
+//! limit, requests are spaced to keep it.
 
 mod estimate;
 mod gate;
 mod open_limit;
+mod pacer;
 mod queue;
 mod rate;
 
--- a/crates/rhubarblanding_admission/src/slots/queue.rs
+++ b/crates/rhubarblanding_admission/src/slots/queue.rs
@@ -100,6 +100,11 @@
         (last.late || last.rank > rank).then_some(last.id)
     }
 
+    /// Returns the identifiers of the waiting requests in their order.
+    pub(super) fn ids(&self) -> Vec<u64> {
+        self.order.iter().map(|order| order.id).collect()
+    }
+
     pub(super) fn take_all(&mut self) -> Vec<Waiting> {
         self.order.clear();
         std::mem::take(&mut self.by_id).into_values().collect()
--- a/crates/rhubarblanding_admission/tests/slots/main.rs
+++ b/crates/rhubarblanding_admission/tests/slots/main.rs
@@ -156,7 +156,7 @@
             ends.push_back((now + hold, n));
             last_second += usize::from(now >= 4_000);
         }
-        most = most.max(gate.load().in_flight);
+        most = most.max(gate.load(at(0)).in_flight);
     }
     (most, last_second)
 }
@@ -189,7 +189,7 @@
             gate.finished(at(now), id, true);
         }
     }
-    assert_that!(gate.load().in_flight, all![ge(50), le(100)]);
+    assert_that!(gate.load(at(0)).in_flight, all![ge(50), le(100)]);
     assert_that!(completed_late, eq(0));
 }
 
--- a/crates/rhubarblanding_mesh/src/process/events.rs
+++ b/crates/rhubarblanding_mesh/src/process/events.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use http::{HeaderValue, StatusCode};
+use rhubarblanding_admission::slots::RequestRate;
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_routing::prelude::TargetId;
 
 use super::notice::NoticeChange;
 use super::shared::Shared;
-use crate::protocol::{Instance, RateNotice, RequestRate, TargetNotice};
+use crate::protocol::Instance;
 use crate::request::HopHeader;
 
 /// Stage at which a request ended without an answer of a target.
@@ -41,6 +42,16 @@
     Failed,
 }
 
+/// Node that received an answer with a notice of the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum NoticeSource {
+    /// This node.
+    Answer,
+    /// Another node, which sent the notice along with a request.
+    Peer,
+}
+
 fn request_id_text(id: Option<&HeaderValue>) -> &str {
     id.and_then(|id| id.to_str().ok()).unwrap_or("-")
 }
@@ -138,7 +149,8 @@
             deadline_ms = header.deadline.as_millis() as u64,
             running = inputs.running, queued = inputs.queued, slots = inputs.slots,
             hold_us = inputs.hold.as_micros() as u64, open_of_kind = inputs.open,
-            completed_per_s = inputs.completed_per_s;
+            completed_per_s = inputs.completed_per_s,
+            rate_per_s = inputs.rate.map_or(-1.0, RequestRate::per_second);
             "turned_away"
         );
     }
@@ -146,7 +158,7 @@
     /// Logs and counts a request without a usable answer of the local target.
     pub fn log_target_failure(&self, id: Option<&HeaderValue>, reason: &str) {
         self.metrics.target_failed();
-        let load = self.local.load();
+        let load = self.local.load(self.clock.now());
         log::info!(
             id = request_id_text(id), reason = reason, running = load.in_flight, queued = load.queued,
             limit = load.limit;
@@ -154,29 +166,21 @@
         );
     }
 
-    /// Logs what changed with the notices in an answer of the local target.
+    /// Logs a change of what the local target says of itself.
     pub fn log_notice(
         &self,
-        instance: &Instance,
-        before: Option<RequestRate>,
-        notice: TargetNotice,
+        instance: Option<&Instance>,
         change: NoticeChange,
+        source: NoticeSource,
     ) {
-        if notice.rate == RateNotice::Invalid {
-            log::warn!(instance:% = instance.id; "target_rate_invalid");
-        }
+        let id = instance.map_or("-", |instance| &instance.id.0);
         if let Some(rate) = change.rate {
             self.metrics.set_target_rate(rate);
-            let text =
-                |rate: Option<RequestRate>| rate.map_or("none".to_owned(), |r| r.to_string());
-            log::info!(
-                instance:% = instance.id, born = instance.started_at.0, per_s = text(rate),
-                before = text(before);
-                "target_rate_limited"
-            );
+            let per_s = rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+            log::info!(instance = id, per_s = per_s, source:% = source; "target_rate_limited");
         }
         if change.began_leaving {
-            log::info!(instance:% = instance.id, born = instance.started_at.0; "target_leaving");
+            log::info!(instance = id, source:% = source; "target_leaving");
         }
     }
 }
--- a/crates/rhubarblanding_mesh/src/process/instance.rs
+++ b/crates/rhubarblanding_mesh/src/process/instance.rs
@@ -183,6 +183,11 @@
         current.is_some_and(|current| current.instance == *instance)
     }
 
+    /// Returns the instance of the latest report, draining or not.
+    pub fn current(&self) -> Option<&Instance> {
+        self.current.as_ref().map(|current| &current.instance)
+    }
+
     /// Returns the instance that serves requests.
     pub fn serving(&self) -> Option<&Instance> {
         let current = self.current.as_ref().filter(|current| !current.draining);
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -11,11 +11,14 @@
 use rhubarblanding_node::process::parking::{Mutex, lock};
 use tokio::sync::{Notify, oneshot};
 
+use super::events::NoticeSource;
 use super::instance::{Confirmation, InstanceTracker, ReportVerdict};
 use super::lineage::{Lineage, RunningRequests};
-use super::notice::NoticeTracker;
+use super::notice::{NoticeChange, NoticeTracker, SharedNotice};
 use super::shared::Shared;
-use crate::protocol::{Instance, InstanceId, InstanceLeave, InstanceReport, TargetNotice};
+use crate::protocol::{
+    Instance, InstanceId, InstanceLeave, InstanceReport, RateNotice, TargetNotice,
+};
 use crate::request::HopHeader;
 
 /// Time after a refused connection during which the target counts as down.
@@ -209,8 +212,8 @@
     }
 
     /// Returns the load that is reported to other nodes.
-    pub fn load(&self) -> LoadReport {
-        lock(&self.state).gate.load()
+    pub fn load(&self, now: MonoTime) -> LoadReport {
+        lock(&self.state).gate.load(now)
     }
 
     /// Returns the state and the number of slots that are announced to other nodes.
@@ -308,11 +311,42 @@
         sent_at: MonoTime,
         notice: TargetNotice,
     ) {
+        if notice.rate == RateNotice::Invalid {
+            log::warn!(instance:% = instance.id; "target_rate_invalid");
+        }
         let now = node.clock.now();
         let mut state = lock(&self.state);
-        let before = state.notices.rate();
         let change = state.notices.observe(now, instance, sent_at, notice);
-        node.log_notice(instance, before, notice, change);
+        self.apply_notice(node, &mut state, change, NoticeSource::Answer);
+    }
+
+    /// Applies the notices of the target that another node knows.
+    pub fn adopt_notice(&self, node: &Shared, notice: SharedNotice) {
+        let now = node.clock.now();
+        let mut state = lock(&self.state);
+        let change = state.notices.adopt(now, notice);
+        self.apply_notice(node, &mut state, change, NoticeSource::Peer);
+    }
+
+    /// Returns the notices for a node that knows `known` of this target.
+    pub fn shared_notice(&self, known: Option<SharedNotice>) -> Option<SharedNotice> {
+        lock(&self.state).notices.shared(known)
+    }
+
+    fn apply_notice(
+        &self,
+        node: &Shared,
+        state: &mut State,
+        change: NoticeChange,
+        source: NoticeSource,
+    ) {
+        let now = node.clock.now();
+        node.log_notice(state.tracker.current(), change, source);
+        if let Some(rate) = change.rate {
+            state.gate.set_rate(now, rate);
+            state.dispatch(now);
+            self.changed.notify_one();
+        }
     }
 
     /// Records a request as running at the target until the guard is dropped.
@@ -349,7 +383,7 @@
     /// Decides on queued requests when they are due; runs until the process ends.
     pub async fn run_timers(&self, node: &Shared) {
         loop {
-            let due = lock(&self.state).gate.next_due();
+            let due = lock(&self.state).gate.next_due(node.clock.now());
             match due {
                 None => self.changed.notified().await,
                 Some(due) => {
@@ -369,6 +403,10 @@
         let mut state = lock(&self.state);
         state.gate.finished(now, id, answered);
         state.dispatch(now);
+        if state.gate.is_paced() {
+            // The slot is free before the rate limit lets the next request start.
+            self.changed.notify_one();
+        }
     }
 
     fn cancel(&self, node: &Shared, id: u64) {
@@ -401,8 +439,9 @@
         match verdict {
             ReportVerdict::NewInstance => {
                 self.notices = NoticeTracker::new(&report.instance);
+                node.metrics.set_target_rate(None);
                 self.unreachable_until = MonoTime::ZERO;
-                self.gate.restart();
+                self.gate.restart(now);
                 node.backend.clear();
                 self.gate.set_slots(now, report.slots);
             }
--- a/crates/rhubarblanding_mesh/src/process/mod.rs
+++ b/crates/rhubarblanding_mesh/src/process/mod.rs
@@ -20,6 +20,8 @@
 pub use local::{LocalTarget, SlotPermit};
 pub use mesh::{Mesh, StartError};
 pub use metrics::Metrics;
-pub use notice::{InstanceKey, NoticeChange, NoticeTracker};
+pub use notice::{
+    InstanceKey, InvalidNotice, KnownNotices, NoticeChange, NoticeTracker, SharedNotice,
+};
 pub use shared::Shared;
 pub use targets::{SentRequest, Targets};
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -18,6 +18,7 @@
 
 use super::local::LocalTarget;
 use super::metrics::Metrics;
+use super::notice::{KnownNotices, SharedNotice};
 use super::targets::Targets;
 use crate::connection::{BackendPool, PeerPool};
 use crate::protocol::Protocol;
@@ -77,6 +78,7 @@
     member: Mutex<Member>,
     outputs: mpsc::UnboundedSender<Output>,
     budgets: Mutex<HashMap<ServiceName, WindowBudget>>,
+    notices: Mutex<KnownNotices>,
     stopping: AtomicBool,
     refusing_peers: AtomicBool,
     refusing_clients: AtomicBool,
@@ -124,6 +126,7 @@
             member: Mutex::new(member),
             outputs,
             budgets: Mutex::default(),
+            notices: Mutex::default(),
             stopping: AtomicBool::new(false),
             refusing_peers: AtomicBool::new(false),
             refusing_clients: AtomicBool::new(false),
@@ -244,6 +247,16 @@
         self.open_requests.load(Ordering::Relaxed)
     }
 
+    /// Records the notices of the target on `host`, as its node sent them.
+    pub fn learn_notice(&self, host: HostId, notice: SharedNotice) {
+        lock(&self.notices).learn(self.clock.now(), host, notice);
+    }
+
+    /// Returns the known notices of the target on `host`.
+    pub fn known_notice(&self, host: HostId) -> Option<SharedNotice> {
+        lock(&self.notices).get(host)
+    }
+
     /// Passes an input to the membership and its outputs to the receiver of [`Self::new`].
     pub fn member_input(&self, input: Input) {
         let now = self.clock.now();
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -17,7 +17,9 @@
 use super::answer::refusal;
 use super::forward::forward;
 use super::headers::strip_connection_headers;
-use super::hop::{ANSWER_HEADER, HopHeader, HopOutcome, HopReply, HopRequest, REQUEST_HEADER};
+use super::hop::{
+    ANSWER_HEADER, HopHeader, HopOutcome, HopReply, HopRequest, NOTICE_HEADER, REQUEST_HEADER,
+};
 use crate::connection::Payload;
 use crate::process::{RefusalStage, RetryReason, Shared};
 use crate::version::ChosenRoute;
@@ -147,7 +149,7 @@
     for name in [header::HOST, header::CONTENT_LENGTH, header::EXPECT] {
         parts.headers.remove(name);
     }
-    for name in [REQUEST_HEADER, ANSWER_HEADER] {
+    for name in [REQUEST_HEADER, ANSWER_HEADER, NOTICE_HEADER] {
         parts.headers.remove(name);
     }
     parts.headers.remove(&names.expected_instance);
@@ -325,13 +327,14 @@
     attempts: &mut Attempts,
 ) -> NextStep {
     let limit = node.clock.instant(exchange.deadline + ANSWER_GRACE);
-    let hop = hop_request(node, exchange, attempts.reached);
+    let hop = hop_request(node, exchange, target.host, attempts.reached);
     let sent = node.targets.started(&exchange.service, target);
     let reply = tokio::time::timeout_at(limit, forward(node, target.host, hop)).await;
     let Ok(HopReply {
         outcome,
         call_failed,
         load,
+        notice,
     }) = reply
     else {
         sent.finish(TargetOutcome::Silent);
@@ -340,6 +343,9 @@
     if let Some(load) = load {
         node.targets.observe(&exchange.service, target, load);
     }
+    if let Some(notice) = notice {
+        node.learn_notice(target.host, notice);
+    }
     match outcome {
         HopOutcome::Answered(resp) => {
             sent.finish(match resp.status().is_server_error() && !call_failed {
@@ -429,7 +435,7 @@
     is_allowed
 }
 
-fn hop_request(node: &Shared, exchange: &Exchange, reached: u32) -> HopRequest {
+fn hop_request(node: &Shared, exchange: &Exchange, host: HostId, reached: u32) -> HopRequest {
     let now = node.clock.now();
     let route = exchange.route.route();
     HopRequest {
@@ -448,5 +454,6 @@
         uri: exchange.uri.clone(),
         headers: exchange.headers.clone(),
         body: exchange.body.clone(),
+        notice: node.known_notice(host),
     }
 }
--- a/crates/rhubarblanding_mesh/src/request/forward.rs
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -11,6 +11,7 @@
 
 use super::hop::{
     ANSWER_HEADER, HopOutcome, HopReply, HopRequest, HopResult, HopStatus, REQUEST_HEADER,
+    set_notice, take_notice,
 };
 use super::serve::{STREAM_GRACE, serve_local};
 use super::small_body::{self, SmallBody};
@@ -40,6 +41,7 @@
         outcome,
         call_failed: false,
         load: None,
+        notice: None,
     }
 }
 
@@ -55,6 +57,7 @@
     *req.headers_mut() = hop.headers;
     let header = HeaderValue::try_from(hop.header.to_string()).ok()?;
     req.headers_mut().insert(REQUEST_HEADER, header);
+    set_notice(req.headers_mut(), hop.notice);
     Some(req)
 }
 
@@ -64,6 +67,7 @@
         .headers
         .remove(ANSWER_HEADER)
         .and_then(|value| value.to_str().ok().map(HopStatus::try_from));
+    let notice = take_notice(&mut parts.headers);
     let Some(Ok(status)) = status else {
         return reply(HopOutcome::Lost(ErrorKind::Internal));
     };
@@ -77,6 +81,7 @@
         outcome,
         call_failed: status.call_failed,
         load: Some(status.load),
+        notice,
     }
 }
 
--- a/crates/rhubarblanding_mesh/src/request/hop.rs
+++ b/crates/rhubarblanding_mesh/src/request/hop.rs
@@ -4,18 +4,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Response, Uri};
+use http::{HeaderMap, HeaderValue, Method, Response, Uri};
 use rhubarblanding_admission::slots::KindKey;
 use rhubarblanding_core::prelude::*;
 use strum::{Display, EnumString};
 
 use crate::connection::Payload;
+use crate::process::SharedNotice;
 
 /// Header of a request between nodes; its value is a [`HopHeader`].
 pub(crate) const REQUEST_HEADER: &str = "rb-hop";
 /// Header of an answer between nodes; its value is a [`HopStatus`].
 pub(crate) const ANSWER_HEADER: &str = "rb-result";
 
+/// Header of requests and answers between nodes; its value is a [`SharedNotice`] of the target.
+pub(crate) const NOTICE_HEADER: &str = "rb-notice";
+
 /// Path of membership messages.
 pub(crate) const GOSSIP_PATH: &str = "/membership";
 
@@ -120,6 +124,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// What the sender knows of the target's notices.
+    pub notice: Option<SharedNotice>,
 }
 
 /// Result of a request at the node beside the target, as it is sent to the entry node.
@@ -219,4 +225,27 @@
     pub call_failed: bool,
     /// Load of the target.
     pub load: Option<LoadReport>,
+    /// Notices of the target, if the receiver must learn them.
+    pub notice: Option<SharedNotice>,
+}
+
+/// Removes the notice from the headers of a message between nodes.
+pub(super) fn take_notice(headers: &mut HeaderMap) -> Option<SharedNotice> {
+    let value = headers.remove(NOTICE_HEADER)?;
+    let notice = value
+        .to_str()
+        .ok()
+        .and_then(|raw| SharedNotice::try_from(raw).ok());
+    if notice.is_none() {
+        log::warn!(value:? = value; "notice_invalid");
+    }
+    notice
+}
+
+/// Adds a notice to the headers of a message between nodes.
+pub(super) fn set_notice(headers: &mut HeaderMap, notice: Option<SharedNotice>) {
+    let value = notice.and_then(|notice| HeaderValue::try_from(notice.to_string()).ok());
+    if let Some(value) = value {
+        headers.insert(NOTICE_HEADER, value);
+    }
 }
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -17,7 +17,7 @@
 use super::headers::strip_connection_headers;
 use super::hop::{
     ANSWER_HEADER, GOSSIP_PATH, HopHeader, HopOutcome, HopReply, HopRequest, HopResult, HopStatus,
-    REQUEST_HEADER,
+    REQUEST_HEADER, set_notice, take_notice,
 };
 use super::small_body::{self, SmallBody, read_logged};
 use crate::connection::{BackendConn, ExchangeError, Payload};
@@ -54,6 +54,7 @@
             outcome: HopOutcome::Refused(refusal),
             call_failed: false,
             load: None,
+            notice: None,
         });
     }
     let header = parts
@@ -64,6 +65,7 @@
         log::warn!(path:% = parts.uri.path(); "peer_request_invalid");
         return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
     };
+    let notice = take_notice(&mut parts.headers);
     let Some(body) = read_logged(body, BODY_MAX_BYTES, "peer_request_cut").await else {
         return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
     };
@@ -78,6 +80,7 @@
         uri,
         headers: parts.headers,
         body,
+        notice,
     };
     encode(serve_local(node, hop).await)
 }
@@ -114,6 +117,7 @@
     if let Ok(value) = HeaderValue::try_from(status.to_string()) {
         resp.headers_mut().insert(ANSWER_HEADER, value);
     }
+    set_notice(resp.headers_mut(), reply.notice);
     resp
 }
 
@@ -127,6 +131,10 @@
     let deadline = now + hop.header.deadline;
     let objective = now + hop.header.objective;
     let mut call_failed = false;
+    let known = hop.notice;
+    if let Some(known) = known {
+        node.local.adopt_notice(&node, known);
+    }
     let outcome = match node
         .local
         .acquire(&node, &hop.header, objective, deadline)
@@ -142,7 +150,8 @@
     HopReply {
         outcome,
         call_failed,
-        load: Some(node.local.load()),
+        load: Some(node.local.load(node.clock.now())),
+        notice: node.local.shared_notice(known),
     }
 }
 
