Stop sending to a target that says in an answer that it is leaving

Callers of a target that announces its end only in its answers, or whose announcement to its node was lost, had their requests sent to it until it was gone, and saw 502 then. Cause: the header was no input of any decision; the same class as the rate limit, what a target says of itself while it serves.

The node beside the target marks the instance as departed with the first such answer, refuses what waits there (not sent, so it is tried elsewhere), announces it, and records the departure in the key-value service as for other departures. Nodes that passed the answer on remind it after a restart, as with rate limits.

--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -15,6 +15,7 @@
 use super::instance::{Confirmation, InstanceTracker, ReportVerdict};
 use super::lineage::{Lineage, RunningRequests};
 use super::notice::{NoticeChange, NoticeTracker, SharedNotice};
+use super::registration;
 use super::shared::Shared;
 use crate::protocol::{
     Instance, InstanceId, InstanceLeave, InstanceReport, RateNotice, TargetNotice,
@@ -306,7 +307,7 @@
     /// Applies the notices in an answer of `instance` to a request that was sent at `sent_at`.
     pub fn observe_notice(
         &self,
-        node: &Shared,
+        node: &Arc<Shared>,
         instance: &Instance,
         sent_at: MonoTime,
         notice: TargetNotice,
@@ -314,18 +315,16 @@
         if notice.rate == RateNotice::Invalid {
             log::warn!(instance:% = instance.id; "target_rate_invalid");
         }
-        let now = node.clock.now();
-        let mut state = lock(&self.state);
-        let change = state.notices.observe(now, instance, sent_at, notice);
-        self.apply_notice(node, &mut state, change, NoticeSource::Answer);
+        self.apply_notice(node, NoticeSource::Answer, |now, notices| {
+            notices.observe(now, instance, sent_at, notice)
+        });
     }
 
     /// Applies the notices of the target that another node knows.
-    pub fn adopt_notice(&self, node: &Shared, notice: SharedNotice) {
-        let now = node.clock.now();
-        let mut state = lock(&self.state);
-        let change = state.notices.adopt(now, notice);
-        self.apply_notice(node, &mut state, change, NoticeSource::Peer);
+    pub fn adopt_notice(&self, node: &Arc<Shared>, notice: SharedNotice) {
+        self.apply_notice(node, NoticeSource::Peer, |now, notices| {
+            notices.adopt(now, notice)
+        });
     }
 
     /// Returns the notices for a node that knows `known` of this target.
@@ -335,18 +334,36 @@
 
     fn apply_notice(
         &self,
-        node: &Shared,
-        state: &mut State,
-        change: NoticeChange,
+        node: &Arc<Shared>,
         source: NoticeSource,
+        update: impl FnOnce(MonoTime, &mut NoticeTracker) -> NoticeChange,
     ) {
         let now = node.clock.now();
-        node.log_notice(state.tracker.current(), change, source);
+        let mut state = lock(&self.state);
+        let change = update(now, &mut state.notices);
+        if change == NoticeChange::default() {
+            return;
+        }
+        let instance = state.tracker.current().cloned();
+        node.log_notice(instance.as_ref(), change, source);
         if let Some(rate) = change.rate {
             state.gate.set_rate(now, rate);
-            state.dispatch(now);
             self.changed.notify_one();
         }
+        let leaving = instance.filter(|_| change.began_leaving);
+        if let Some(instance) = &leaving {
+            state.tracker.mark_departed(instance.clone());
+            state.refuse_waiting(now);
+        }
+        state.dispatch(now);
+        drop(state);
+        if let Some(instance) = leaving {
+            node.announce();
+            tokio::spawn(registration::record_until_stored(
+                Arc::clone(node),
+                instance,
+            ));
+        }
     }
 
     /// Records a request as running at the target until the guard is dropped.
