Log which requests ran when a target crashed

When a connection is lost, the node beside the target opens another: a target that refuses it, and had not announced that it stops, has crashed. Each request that ran is logged and counted with a hash of its content, the same for each attempt at each node. No decision depends on it yet. The new connection is kept for the next request.

--- a/crates/rhubarblanding_mesh/src/connection/backend.rs
+++ b/crates/rhubarblanding_mesh/src/connection/backend.rs
@@ -160,6 +160,17 @@
         self.open(addr).await
     }
 
+    /// Returns `true` if the target refuses connections. Else the connection is kept for a request.
+    pub async fn is_refused(&self, addr: SocketAddr) -> bool {
+        match self.open(addr).await {
+            Ok(conn) => {
+                self.put(conn);
+                false
+            }
+            Err(e) => e == ConnectError::Refused,
+        }
+    }
+
     /// Returns a connection to the pool after a complete answer.
     pub fn put(&self, conn: BackendConn) {
         if conn.idle_timeout.is_zero() || conn.sender.is_closed() || self.is_recently_garbled() {
--- a/crates/rhubarblanding_mesh/src/process/events.rs
+++ b/crates/rhubarblanding_mesh/src/process/events.rs
@@ -5,6 +5,7 @@
 use http::{HeaderValue, StatusCode};
 use rhubarblanding_admission::slots::RequestRate;
 use rhubarblanding_core::prelude::*;
+use rhubarblanding_request::suspect::Fingerprint;
 use rhubarblanding_routing::prelude::TargetId;
 
 use super::notice::NoticeChange;
@@ -166,6 +167,20 @@
         );
     }
 
+    /// Logs and counts a request that ran when the local target crashed.
+    pub fn log_crash(
+        &self,
+        id: Option<&HeaderValue>,
+        instance: &Instance,
+        fingerprint: Fingerprint,
+    ) {
+        self.metrics.lost_in_crash();
+        log::info!(
+            id = request_id_text(id), instance:% = instance.id, fingerprint:% = fingerprint;
+            "lost_in_crash"
+        );
+    }
+
     /// Logs a change of what the local target says of itself.
     pub fn log_notice(
         &self,
--- a/crates/rhubarblanding_mesh/src/process/metrics.rs
+++ b/crates/rhubarblanding_mesh/src/process/metrics.rs
@@ -45,6 +45,7 @@
     configurations_refused: Counter,
     configuration_findings: Gauge,
     target_rate: Gauge<f64, AtomicU64>,
+    lost_in_crash: Counter,
 }
 
 impl Default for Metrics {
@@ -100,6 +101,9 @@
         target_rate.set(NO_RATE);
         let help = "Requests per second that the local target takes; -1 if it names no limit";
         registry.register("target_rate_limit", help, target_rate.clone());
+        let lost_in_crash = Counter::default();
+        let help = "Requests that ran when the local target crashed";
+        registry.register("lost_in_crash", help, lost_in_crash.clone());
         Self {
             registry,
             refusals,
@@ -111,6 +115,7 @@
             configurations_refused,
             configuration_findings,
             target_rate,
+            lost_in_crash,
         }
     }
 }
@@ -135,6 +140,11 @@
         self.target_failures.inc();
     }
 
+    /// Counts a request that ran when the local target crashed.
+    pub fn lost_in_crash(&self) {
+        self.lost_in_crash.inc();
+    }
+
     /// Counts a request that is sent to a second target.
     pub fn retried(&self) {
         self.retries.inc();
--- a/crates/rhubarblanding_mesh/src/process/mod.rs
+++ b/crates/rhubarblanding_mesh/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod control;
+mod crash;
 mod events;
 mod instance;
 mod lineage;
@@ -14,6 +15,7 @@
 mod shared;
 mod targets;
 
+pub use crash::CrashWatch;
 pub use events::{RefusalStage, RetryReason};
 pub use instance::{Confirmation, InstanceTracker, ReportVerdict};
 pub use lineage::{Lineage, RunningRequests};
--- a/crates/rhubarblanding_mesh/src/process/notice.rs
+++ b/crates/rhubarblanding_mesh/src/process/notice.rs
@@ -8,6 +8,7 @@
 
 use rhubarblanding_core::collections::stable_hash;
 use rhubarblanding_core::prelude::*;
+use rhubarblanding_request::suspect::CrashId;
 
 use crate::protocol::{Instance, RateNotice, RequestRate, TargetNotice};
 
@@ -21,6 +22,12 @@
     }
 }
 
+impl From<InstanceKey> for CrashId {
+    fn from(key: InstanceKey) -> Self {
+        Self(key.0)
+    }
+}
+
 /// Notices of one instance, as nodes send them to each other.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SharedNotice {
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -16,6 +16,7 @@
 use rhubarblanding_store::StoreClient;
 use tokio::sync::{mpsc, watch};
 
+use super::crash::CrashWatch;
 use super::local::LocalTarget;
 use super::metrics::Metrics;
 use super::notice::{KnownNotices, SharedNotice};
@@ -66,6 +67,8 @@
     pub local: LocalTarget,
     /// Connections to the local target.
     pub backend: BackendPool,
+    /// Crashes of the local target.
+    pub crashes: CrashWatch,
     /// Connections to other nodes.
     pub peers: PeerPool,
     /// Client of the key-value service.
@@ -117,6 +120,7 @@
             targets: Targets::new(clock, zone, router_settings(), seed),
             local: LocalTarget::new(SlotSettings::default()),
             backend: BackendPool::new(clock),
+            crashes: CrashWatch::default(),
             peers: PeerPool::new(clock),
             store: StoreClient::with_codec(settings.store, protocol.store_codec()),
             metrics: Metrics::default(),
--- a/crates/rhubarblanding_mesh/src/request/mod.rs
+++ b/crates/rhubarblanding_mesh/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! Forwarding of a request from the entry node to the target, and of its answer to the client.
 
 mod answer;
+mod content;
 mod entry;
 mod forward;
 mod headers;
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -12,8 +12,10 @@
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_membership::prelude::Input;
 use rhubarblanding_node::request::body::EndGuard;
+use rhubarblanding_request::suspect::{CrashId, Fingerprint};
 use tokio::time::Instant;
 
+use super::content;
 use super::headers::strip_connection_headers;
 use super::hop::{
     ANSWER_HEADER, GOSSIP_PATH, HopHeader, HopOutcome, HopReply, HopRequest, HopResult, HopStatus,
@@ -130,7 +132,7 @@
     let now = node.clock.now();
     let deadline = now + hop.header.deadline;
     let objective = now + hop.header.objective;
-    let mut call_failed = false;
+    let mut report = RunReport::default();
     let known = hop.notice;
     if let Some(known) = known {
         node.local.adopt_notice(&node, known);
@@ -140,7 +142,7 @@
         .acquire(&node, &hop.header, objective, deadline)
         .await
     {
-        Ok(permit) => run(&node, hop, permit, deadline, &mut call_failed).await,
+        Ok(permit) => run(&node, hop, permit, deadline, &mut report).await,
         Err(refusal) => {
             let id = hop.headers.get(&node.protocol.headers().request_id);
             node.log_admission_refusal(id, &hop.header, refusal);
@@ -149,26 +151,35 @@
     };
     HopReply {
         outcome,
-        call_failed,
+        call_failed: report.call_failed,
         load: Some(node.local.load(node.clock.now())),
         notice: node.local.shared_notice(known),
     }
 }
 
+/// Facts about the run of a request besides its outcome.
+#[derive(Default)]
+struct RunReport {
+    /// `true` if the target failed because a call that it made had failed.
+    call_failed: bool,
+    /// Crash of the target that ended the run.
+    crash: Option<CrashId>,
+}
+
 /// Sends an admitted request to the target and waits for its answer.
 async fn run(
     node: &Arc<Shared>,
     hop: HopRequest,
     permit: SlotPermit,
     deadline: MonoTime,
-    call_failed: &mut bool,
+    report: &mut RunReport,
 ) -> HopOutcome {
     let limit = node.clock.instant(deadline + DEADLINE_GRACE);
     let id = hop
         .headers
         .get(&node.protocol.headers().request_id)
         .cloned();
-    match tokio::time::timeout_at(limit, attempt(node, hop, permit, deadline, call_failed)).await {
+    match tokio::time::timeout_at(limit, attempt(node, hop, permit, deadline, report)).await {
         Ok(outcome) => outcome,
         Err(_) => {
             node.log_target_failure(id.as_ref(), "deadline");
@@ -182,7 +193,7 @@
     hop: HopRequest,
     mut permit: SlotPermit,
     deadline: MonoTime,
-    call_failed: &mut bool,
+    report: &mut RunReport,
 ) -> HopOutcome {
     let id = hop
         .headers
@@ -198,6 +209,10 @@
     let mut running = node
         .local
         .record_running(node, id_bytes, hop.header.kind, lineage);
+    let fingerprint = {
+        let target = (&hop.method, &hop.uri, &*hop.header.host);
+        content::fingerprint(node, target, &hop.headers, &hop.body)
+    };
     let mut req = build_request(node, hop, &permit);
     let addr = node.settings().target_addr;
     let deadline_name = &node.protocol.headers().deadline_ms;
@@ -220,7 +235,7 @@
         set_header(req.headers_mut(), deadline_name.clone(), &left);
         match conn.exchange(req.clone()).await {
             Ok(resp) => {
-                *call_failed = node.local.has_failed_call(id_bytes);
+                report.call_failed = node.local.has_failed_call(id_bytes);
                 if resp.status().is_success() {
                     running.succeeded();
                 }
@@ -230,7 +245,11 @@
                     at: now,
                     limit,
                 };
-                return receive(node, conn, resp, &mut permit, sent).await;
+                let outcome = receive(node, conn, resp, &mut permit, sent).await;
+                if matches!(outcome, HopOutcome::Lost(ErrorKind::ConnectionLost)) {
+                    report.crash = find_crash(node, &permit, id.as_ref(), fingerprint).await;
+                }
+                return outcome;
             }
             Err(ExchangeError::NotSent) => {}
             Err(e) => {
@@ -238,6 +257,7 @@
                     node.backend.record_garbled();
                 }
                 node.log_target_failure(id.as_ref(), &e.to_string());
+                report.crash = find_crash(node, &permit, id.as_ref(), fingerprint).await;
                 return HopOutcome::Lost(ErrorKind::ConnectionLost);
             }
         }
@@ -246,6 +266,18 @@
     HopOutcome::Refused(Refusal::new(ErrorKind::ConnectFailed))
 }
 
+/// Returns the crash of the target that ended a request without an answer, if it crashed.
+async fn find_crash(
+    node: &Shared,
+    permit: &SlotPermit,
+    id: Option<&HeaderValue>,
+    fingerprint: Fingerprint,
+) -> Option<CrashId> {
+    let crash = node.crashes.crash_of(node, permit.instance()).await?;
+    node.log_crash(id, permit.instance(), fingerprint);
+    Some(crash)
+}
+
 /// Builds the request that is sent to the target, without its deadline.
 fn build_request(node: &Shared, hop: HopRequest, permit: &SlotPermit) -> Request<Full<Bytes>> {
     let names = node.protocol.headers();
--- a/crates/rhubarblanding_request/src/lib.rs
+++ b/crates/rhubarblanding_request/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod context;
 pub mod reason;
+pub mod suspect;
 pub mod window;
 
 /// Commonly used items of this crate.
