Add failing tests of requests that crash their targets

A request that crashes each target that runs it comes again every 400 ms at two nodes. Later than 3 s after its third crash it is sent 29 times more if it may run twice and 18 times if not; the users allow 3. Two more pass, and must go on to: requests that ran when their targets were killed, and those whose answers are lost, are not refused.

--- a/crates/rhubarblanding_mesh/tests/mesh/main.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
 
+mod crashes;
 mod fleet;
 mod notices;
 mod protocol;
--- a/crates/rhubarblanding_mesh/tests/mesh/target.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/target.rs
@@ -6,6 +6,11 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// Time from a crash of a target until it is started again.
+pub const DOWN: Duration = Duration::from_millis(700);
 
 /// Behaviour of the target on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,6 +66,10 @@
     behaviour: Arc<Mutex<Behaviour>>,
     /// Header lines added to each answer.
     notice: Arc<Mutex<String>>,
+    /// Part of the request line of requests that crash the target.
+    crashes_on: Arc<Mutex<Option<&'static str>>>,
+    /// Ends the current process of the target: its listener and its connections.
+    process: Arc<Mutex<watch::Sender<u64>>>,
     recorded: Arc<Mutex<Recorded>>,
 }
 
@@ -75,18 +84,54 @@
             addr: listener.local_addr()?,
             behaviour: Arc::new(Mutex::new(Behaviour::Answer)),
             notice: Arc::default(),
+            crashes_on: Arc::default(),
+            process: Arc::new(Mutex::new(watch::Sender::new(1))),
             recorded: Arc::default(),
         };
-        let accepting = target.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let target = accepting.clone();
-                tokio::spawn(async move { target.serve(stream).await });
-            }
-        });
+        tokio::spawn(target.clone().run(listener));
         Ok(target)
     }
 
+    /// Serves, and starts again some time after each crash.
+    async fn run(self, mut listener: TcpListener) {
+        loop {
+            let mut ended = lock(&self.process).subscribe();
+            let mut connections = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { return };
+                        let target = self.clone();
+                        connections.spawn(async move { target.serve(stream).await });
+                    }
+                    _ = ended.changed() => break,
+                }
+            }
+            drop(listener);
+            connections.shutdown().await;
+            tokio::time::sleep(DOWN).await;
+            listener = match TcpListener::bind(self.addr).await {
+                Ok(listener) => listener,
+                Err(_) => return,
+            };
+        }
+    }
+
+    /// Requests with `part` in their request line crash the target from now on.
+    pub fn crash_on(&self, part: &'static str) {
+        *lock(&self.crashes_on) = Some(part);
+    }
+
+    /// Ends the process of the target, which starts again after [`DOWN`].
+    pub fn crash(&self) {
+        lock(&self.process).send_modify(|process| *process += 1);
+    }
+
+    /// Number of the current process of the target, from 1.
+    pub fn process(&self) -> u64 {
+        *lock(&self.process).borrow()
+    }
+
     pub fn set(&self, behaviour: Behaviour) {
         *lock(&self.behaviour) = behaviour;
     }
@@ -132,6 +177,13 @@
             if behaviour != Behaviour::Shed {
                 lock(&self.recorded).ran.push(head.clone());
             }
+            let crashes_on = *lock(&self.crashes_on);
+            let request_line = head.lines().next().unwrap_or_default();
+            if crashes_on.is_some_and(|part| request_line.contains(part)) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                self.crash();
+                std::future::pending::<()>().await;
+            }
             if behaviour == Behaviour::Work {
                 self.work(&mut stream).await;
                 return;
