Refuse requests that crash the targets that run them

Callers of repo-browse got 503 and 502 for seconds, again and again: one request ended each target that ran it, with up to 27 others beside it. Cause: a crash was taken for a lost connection, so its entry node sent the request to the next target, and no node remembered anything when it came again. Class: what a request did to targets is state, and had no owner.

The node beside the target finds the crash, counts it against what ran, and names it in its reply; nodes tell each other at once and in random pairs. After two crashes without a success a request is not retried and runs alone, so that the third counts against one request only; after three it is refused at both ends of its way for 10 minutes.

--- a/crates/rhubarblanding_core/src/error.rs
+++ b/crates/rhubarblanding_core/src/error.rs
@@ -109,6 +109,8 @@
     UnknownRoute => 404, NotRun, Never, "refused.unknown_route", "No such route.";
     /// The route of the request, or possibly its route, has a fault in the configuration.
     UnusableRoute => 503, NotRun, After, "refused.unusable_route", "The route has a fault in the configuration.";
+    /// The request, or one with the same content, ran when several targets crashed.
+    CrashesTargets => 503, NotRun, After, "refused.crashes_targets", "Requests with this content crashed several backend servers.";
     /// The node has not read a configuration yet.
     NoConfiguration => 503, NotRun, After, "refused.no_configuration", "The node has no configuration yet.";
     /// The body is larger than allowed for its kind.
--- a/crates/rhubarblanding_mesh/src/process/mesh.rs
+++ b/crates/rhubarblanding_mesh/src/process/mesh.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 
 use super::shared::Shared;
-use super::{configuration, control, member, registration};
+use super::{configuration, control, member, registration, suspects};
 use crate::connection::{ClientServer, Handler, PeerServer, bind};
 use crate::protocol::Protocol;
 use crate::request::{handle_client, handle_peer};
@@ -121,6 +121,7 @@
         let shared = Arc::clone(&node);
         tokio::spawn(async move { shared.local.run_timers(&shared).await });
         tokio::spawn(close_idle(Arc::clone(&node)));
+        tokio::spawn(suspects::spread(Arc::clone(&node)));
         Ok(Self {
             node,
             lifecycle,
--- a/crates/rhubarblanding_mesh/src/process/mod.rs
+++ b/crates/rhubarblanding_mesh/src/process/mod.rs
@@ -13,6 +13,7 @@
 mod notice;
 mod registration;
 mod shared;
+mod suspects;
 mod targets;
 
 pub use crash::CrashWatch;
@@ -26,4 +27,5 @@
     InstanceKey, InvalidNotice, KnownNotices, NoticeChange, NoticeTracker, SharedNotice,
 };
 pub use shared::Shared;
+pub use suspects::Suspects;
 pub use targets::{SentRequest, Targets};
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -20,6 +20,7 @@
 use super::local::LocalTarget;
 use super::metrics::Metrics;
 use super::notice::{KnownNotices, SharedNotice};
+use super::suspects::Suspects;
 use super::targets::Targets;
 use crate::connection::{BackendPool, PeerPool};
 use crate::protocol::Protocol;
@@ -69,6 +70,8 @@
     pub backend: BackendPool,
     /// Crashes of the local target.
     pub crashes: CrashWatch,
+    /// Requests that crash targets.
+    pub suspects: Suspects,
     /// Connections to other nodes.
     pub peers: PeerPool,
     /// Client of the key-value service.
@@ -121,6 +124,7 @@
             local: LocalTarget::new(SlotSettings::default()),
             backend: BackendPool::new(clock),
             crashes: CrashWatch::default(),
+            suspects: Suspects::default(),
             peers: PeerPool::new(clock),
             store: StoreClient::with_codec(settings.store, protocol.store_codec()),
             metrics: Metrics::default(),
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/suspects.rs
@@ -0,0 +1,204 @@
+//! Requests that crash targets: what this node knows of them, and how nodes tell each other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Uri};
+use http_body_util::Full;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_node::process::parking::{Mutex, lock};
+use rhubarblanding_request::suspect::{
+    CrashId, CrashRecord, Fingerprint, SuspectRecord, SuspectTable, SuspectVerdict,
+};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
+
+use super::shared::Shared;
+use crate::request::SUSPECTS_PATH;
+
+/// Time for which the crashes of one target are collected, so that they are sent in one message.
+const COLLECT_TIME: Duration = Duration::from_millis(5);
+/// Interval at which the table is sent to another node, for those that were not reached before or
+/// have been restarted.
+const SYNC_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum number of nodes that learn of a crash at once. In larger fleets the rest learns from them.
+const FANOUT_MAX: usize = 128;
+/// Maximum number of requests in one message.
+const RECORDS_MAX: usize = 256;
+/// Time after which a message counts as lost.
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Suspect requests that this node knows.
+#[derive(Debug)]
+pub struct Suspects {
+    table: Mutex<SuspectTable>,
+    crashed: Notify,
+    /// Held by the isolated request that runs at the local target.
+    isolation: Semaphore,
+}
+
+impl Default for Suspects {
+    fn default() -> Self {
+        Self {
+            table: Mutex::default(),
+            crashed: Notify::new(),
+            isolation: Semaphore::new(1),
+        }
+    }
+}
+
+impl Suspects {
+    /// Decides on a request. Its fingerprint is needed only while some request is suspect.
+    pub fn verdict(
+        &self,
+        now: MonoTime,
+        fingerprint: impl FnOnce() -> Fingerprint,
+    ) -> SuspectVerdict {
+        if lock(&self.table).is_empty() {
+            return SuspectVerdict::Allowed;
+        }
+        let fingerprint = fingerprint();
+        lock(&self.table).verdict(now, fingerprint)
+    }
+
+    /// Returns the refusal of a request that must not run.
+    pub fn refusal(
+        &self,
+        now: MonoTime,
+        fingerprint: impl FnOnce() -> Fingerprint,
+    ) -> Option<Refusal> {
+        match self.verdict(now, fingerprint) {
+            SuspectVerdict::Refused(left) => {
+                Some(Refusal::with_retry_after(ErrorKind::CrashesTargets, left))
+            }
+            SuspectVerdict::Allowed | SuspectVerdict::Isolated => None,
+        }
+    }
+
+    /// Waits until no other isolated request runs at the local target.
+    pub async fn isolate(&self) -> Option<SemaphorePermit<'_>> {
+        self.isolation.acquire().await.ok()
+    }
+
+    /// Records that a request ran when the local target crashed, and tells the other nodes.
+    pub fn record_crash(&self, now: MonoTime, crash: CrashId, fingerprint: Fingerprint) {
+        let is_refused = lock(&self.table).record_crash(now, crash, fingerprint);
+        if is_refused {
+            log_refused(fingerprint);
+        }
+        self.crashed.notify_one();
+    }
+
+    /// Records a crash that the node beside the target has found.
+    pub fn learn_crash(&self, now: MonoTime, id: CrashId, fingerprint: Fingerprint) {
+        let crash = CrashRecord {
+            id,
+            age_ms: 0,
+            cleared: false,
+        };
+        self.merge(
+            now,
+            &[SuspectRecord {
+                fingerprint,
+                crashes: vec![crash],
+            }],
+        );
+    }
+
+    /// Records that a request was completed.
+    pub fn record_completed(&self, fingerprint: impl FnOnce() -> Fingerprint) {
+        if lock(&self.table).is_empty() {
+            return;
+        }
+        let fingerprint = fingerprint();
+        lock(&self.table).record_completed(fingerprint);
+    }
+
+    /// Applies the records of another node.
+    pub fn merge(&self, now: MonoTime, records: &[SuspectRecord]) {
+        let refused = lock(&self.table).merge(now, records);
+        refused.into_iter().for_each(log_refused);
+    }
+
+    fn take_changed(&self, now: MonoTime) -> Vec<SuspectRecord> {
+        let mut changed = lock(&self.table).take_changed(now);
+        changed.truncate(RECORDS_MAX);
+        changed
+    }
+
+    fn records(&self, now: MonoTime) -> Vec<SuspectRecord> {
+        let mut table = lock(&self.table);
+        table.expire(now);
+        table.records(now, RECORDS_MAX)
+    }
+}
+
+fn log_refused(fingerprint: Fingerprint) {
+    log::warn!(fingerprint:% = fingerprint; "request_crashes_targets");
+}
+
+/// Tells other nodes of suspect requests; runs until the process ends.
+pub async fn spread(node: Arc<Shared>) {
+    let mut rng = SmallRng::from_os_rng();
+    let mut sync = tokio::time::interval(SYNC_INTERVAL);
+    loop {
+        tokio::select! {
+            () = node.suspects.crashed.notified() => {
+                tokio::time::sleep(COLLECT_TIME).await;
+                let records = node.suspects.take_changed(node.clock.now());
+                let others = other_nodes(&node);
+                for to in others.choose_multiple(&mut rng, FANOUT_MAX) {
+                    send(&node, *to, &records);
+                }
+            }
+            _ = sync.tick() => {
+                let records = node.suspects.records(node.clock.now());
+                if !records.is_empty()
+                    && let Some(to) = choose_one(&mut rng, &other_nodes(&node))
+                {
+                    send(&node, to, &records);
+                }
+            }
+        }
+    }
+}
+
+fn choose_one(rng: &mut impl Rng, hosts: &[HostId]) -> Option<HostId> {
+    hosts.choose(rng).copied()
+}
+
+fn other_nodes(node: &Shared) -> Vec<HostId> {
+    let own = node.host_id();
+    let hosts = node.with_member(|member| {
+        let services = member.services();
+        let targets = services.iter().flat_map(|service| member.targets(service));
+        targets.map(|target| target.info.host).collect::<Vec<_>>()
+    });
+    hosts.into_iter().filter(|host| *host != own).collect()
+}
+
+fn send(node: &Arc<Shared>, to: HostId, records: &[SuspectRecord]) {
+    let body = match serde_json::to_vec(records) {
+        Ok(body) => Bytes::from(body),
+        Err(e) => return log::warn!(reason:% = e; "suspects_not_encoded"),
+    };
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(to.to_string())
+        .path_and_query(SUSPECTS_PATH)
+        .build();
+    let Ok(uri) = uri else {
+        return log::warn!(host:% = to; "suspects_address_invalid");
+    };
+    let mut req = Request::new(Full::new(body));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = uri;
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        // The next exchange makes up for a lost message.
+        let _ = tokio::time::timeout(SEND_TIMEOUT, node.peers.send(to.0, req)).await;
+    });
+}
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -12,9 +12,11 @@
 use rhubarblanding_core::collections::stable_hash;
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_node::request::body::{ReadError, read_whole};
+use rhubarblanding_request::suspect::{Fingerprint, SuspectVerdict};
 use rhubarblanding_routing::prelude::{TargetId, TargetOutcome};
 
 use super::answer::refusal;
+use super::content;
 use super::forward::forward;
 use super::headers::strip_connection_headers;
 use super::hop::{
@@ -56,6 +58,13 @@
     calls_left: u32,
 }
 
+impl Exchange {
+    fn fingerprint(&self, node: &Shared) -> Fingerprint {
+        let target = (&self.method, &self.uri, &*self.host);
+        content::fingerprint(node, target, &self.headers, &self.body)
+    }
+}
+
 /// Answers a request of a client or of the local target.
 pub async fn handle_client(
     node: Arc<Shared>,
@@ -248,6 +257,10 @@
 }
 
 async fn serve(node: &Arc<Shared>, exchange: &Exchange) -> Response<Payload> {
+    let now = node.clock.now();
+    if let Some(refused) = node.suspects.refusal(now, || exchange.fingerprint(node)) {
+        return refuse(node, exchange, refused, &Attempts::default());
+    }
     if exchange.repeated {
         // The calls of a retried request count as retries at the services that they go to.
         node.charge_repeat(&exchange.service);
@@ -335,6 +348,7 @@
         call_failed,
         load,
         notice,
+        crash,
     }) = reply
     else {
         sent.finish(TargetOutcome::Silent);
@@ -346,6 +360,11 @@
     if let Some(notice) = notice {
         node.learn_notice(target.host, notice);
     }
+    if let Some(crash) = crash {
+        let fingerprint = exchange.fingerprint(node);
+        node.suspects
+            .learn_crash(node.clock.now(), crash, fingerprint);
+    }
     match outcome {
         HopOutcome::Answered(resp) => {
             sent.finish(match resp.status().is_server_error() && !call_failed {
@@ -353,6 +372,10 @@
                 false => TargetOutcome::Answered,
             });
             attempts.reached += 1;
+            if resp.status().is_success() {
+                node.suspects
+                    .record_completed(|| exchange.fingerprint(node));
+            }
             if call_failed {
                 // A service that the target calls failed; another run would fail there too.
                 return NextStep::Deliver(resp);
@@ -384,6 +407,7 @@
             let is_idempotent = exchange.route.route().idempotency == Idempotency::Idempotent;
             if is_idempotent
                 && kind != ErrorKind::DeadlineExceeded
+                && is_unsuspected(node, exchange)
                 && may_retry(node, exchange, attempts, RetryReason::Lost)
             {
                 attempts.run_outcome.get_or_insert(RunOutcome::Lost(kind));
@@ -394,6 +418,13 @@
     }
 }
 
+/// Returns `true` unless several targets have crashed with the request.
+fn is_unsuspected(node: &Shared, exchange: &Exchange) -> bool {
+    let now = node.clock.now();
+    let verdict = node.suspects.verdict(now, || exchange.fingerprint(node));
+    verdict == SuspectVerdict::Allowed
+}
+
 /// Retries a failed request at another target if it is idempotent.
 fn on_answer(
     node: &Shared,
@@ -417,7 +448,10 @@
 fn on_refusal(refusal: Refusal, attempts: &Attempts) -> NextStep {
     let is_final = matches!(
         refusal.kind,
-        ErrorKind::DeadlineBeforeRun | ErrorKind::QueueTimeout | ErrorKind::InvalidRequest
+        ErrorKind::DeadlineBeforeRun
+            | ErrorKind::QueueTimeout
+            | ErrorKind::InvalidRequest
+            | ErrorKind::CrashesTargets
     );
     if is_final || attempts.tried.len() >= TARGETS_MAX {
         return NextStep::Refuse(refusal);
--- a/crates/rhubarblanding_mesh/src/request/forward.rs
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -11,7 +11,7 @@
 
 use super::hop::{
     ANSWER_HEADER, HopOutcome, HopReply, HopRequest, HopResult, HopStatus, REQUEST_HEADER,
-    set_notice, take_notice,
+    set_notice, take_crash, take_notice,
 };
 use super::serve::{STREAM_GRACE, serve_local};
 use super::small_body::{self, SmallBody};
@@ -42,6 +42,7 @@
         call_failed: false,
         load: None,
         notice: None,
+        crash: None,
     }
 }
 
@@ -68,6 +69,7 @@
         .remove(ANSWER_HEADER)
         .and_then(|value| value.to_str().ok().map(HopStatus::try_from));
     let notice = take_notice(&mut parts.headers);
+    let crash = take_crash(&mut parts.headers);
     let Some(Ok(status)) = status else {
         return reply(HopOutcome::Lost(ErrorKind::Internal));
     };
@@ -82,6 +84,7 @@
         call_failed: status.call_failed,
         load: Some(status.load),
         notice,
+        crash,
     }
 }
 
--- a/crates/rhubarblanding_mesh/src/request/hop.rs
+++ b/crates/rhubarblanding_mesh/src/request/hop.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, HeaderValue, Method, Response, Uri};
 use rhubarblanding_admission::slots::KindKey;
 use rhubarblanding_core::prelude::*;
+use rhubarblanding_request::suspect::CrashId;
 use strum::{Display, EnumString};
 
 use crate::connection::Payload;
@@ -20,6 +21,11 @@
 /// Header of requests and answers between nodes; its value is a [`SharedNotice`] of the target.
 pub(crate) const NOTICE_HEADER: &str = "rb-notice";
 
+/// Header of an answer between nodes; its value is the [`CrashId`] of the crash that ended the run.
+pub(crate) const CRASH_HEADER: &str = "rb-crash";
+
+/// Path of records of requests that crash targets.
+pub(crate) const SUSPECTS_PATH: &str = "/suspects";
 /// Path of membership messages.
 pub(crate) const GOSSIP_PATH: &str = "/membership";
 
@@ -227,6 +233,8 @@
     pub load: Option<LoadReport>,
     /// Notices of the target, if the receiver must learn them.
     pub notice: Option<SharedNotice>,
+    /// Crash of the target that ended the run.
+    pub crash: Option<CrashId>,
 }
 
 /// Removes the notice from the headers of a message between nodes.
@@ -249,3 +257,22 @@
         headers.insert(NOTICE_HEADER, value);
     }
 }
+
+/// Removes the identifier of a crash from the headers of an answer between nodes.
+pub(super) fn take_crash(headers: &mut HeaderMap) -> Option<CrashId> {
+    let value = headers.remove(CRASH_HEADER)?;
+    let id = value.to_str().ok();
+    let id = id.and_then(|raw| u64::from_str_radix(raw, 16).ok());
+    if id.is_none() {
+        log::warn!(value:? = value; "crash_invalid");
+    }
+    id.map(CrashId)
+}
+
+/// Adds the identifier of a crash to the headers of an answer between nodes.
+pub(super) fn set_crash(headers: &mut HeaderMap, crash: Option<CrashId>) {
+    let value = crash.and_then(|crash| HeaderValue::try_from(format!("{:x}", crash.0)).ok());
+    if let Some(value) = value {
+        headers.insert(CRASH_HEADER, value);
+    }
+}
--- a/crates/rhubarblanding_mesh/src/request/mod.rs
+++ b/crates/rhubarblanding_mesh/src/request/mod.rs
@@ -11,7 +11,7 @@
 
 pub use answer::{refusal, refusal_with_message};
 pub use entry::handle_client;
-pub(crate) use hop::GOSSIP_PATH;
+pub(crate) use hop::{GOSSIP_PATH, SUSPECTS_PATH};
 pub use hop::{HopHeader, HopOutcome, HopReply, HopRequest, HopResult, HopStatus, InvalidHop};
 pub use serve::{handle_peer, serve_local};
 pub(crate) use small_body::read_logged;
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -12,14 +12,15 @@
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_membership::prelude::Input;
 use rhubarblanding_node::request::body::EndGuard;
-use rhubarblanding_request::suspect::{CrashId, Fingerprint};
+use rhubarblanding_request::suspect::{CrashId, Fingerprint, SuspectRecord, SuspectVerdict};
+use tokio::sync::SemaphorePermit;
 use tokio::time::Instant;
 
 use super::content;
 use super::headers::strip_connection_headers;
 use super::hop::{
     ANSWER_HEADER, GOSSIP_PATH, HopHeader, HopOutcome, HopReply, HopRequest, HopResult, HopStatus,
-    REQUEST_HEADER, set_notice, take_notice,
+    REQUEST_HEADER, SUSPECTS_PATH, set_crash, set_notice, take_notice,
 };
 use super::small_body::{self, SmallBody, read_logged};
 use crate::connection::{BackendConn, ExchangeError, Payload};
@@ -28,6 +29,8 @@
 
 /// Maximum size of a membership message, in bytes.
 const GOSSIP_MAX_BYTES: usize = 4 << 20;
+/// Maximum size of a message about requests that crash targets, in bytes.
+const SUSPECTS_MAX_BYTES: usize = 1 << 20;
 /// Maximum size of a request between nodes, in bytes.
 const BODY_MAX_BYTES: usize = 64 << 20;
 /// Time beyond the deadline for which the target's own answer is awaited.
@@ -35,6 +38,8 @@
 /// Time beyond the deadline after which a streamed answer is broken off: bytes of a faulty target may
 /// come without end. The client has left by then.
 pub(super) const STREAM_GRACE: Duration = Duration::from_millis(300);
+/// `Retry-After` of a request that found no time at which it would have run alone.
+const ISOLATION_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Maximum number of connections tried for one request. The next one is tried only if nothing was
 /// sent on the last.
 const CONNECT_ATTEMPTS: usize = 3;
@@ -46,8 +51,12 @@
     _: SocketAddr,
 ) -> Response<Payload> {
     let (mut parts, body) = req.into_parts();
-    if parts.uri.path() == GOSSIP_PATH && !parts.headers.contains_key(REQUEST_HEADER) {
-        return receive_gossip(&node, body).await;
+    if !parts.headers.contains_key(REQUEST_HEADER) {
+        match parts.uri.path() {
+            GOSSIP_PATH => return receive_gossip(&node, body).await,
+            SUSPECTS_PATH => return receive_suspects(&node, body).await,
+            _ => {}
+        }
     }
     let _open = node.open_request();
     if node.is_refusing_peers() {
@@ -57,6 +66,7 @@
             call_failed: false,
             load: None,
             notice: None,
+            crash: None,
         });
     }
     let header = parts
@@ -99,6 +109,18 @@
     no_content()
 }
 
+/// Handles another node's records of requests that crash targets.
+async fn receive_suspects(node: &Shared, body: Incoming) -> Response<Payload> {
+    let Some(body) = read_logged(body, SUSPECTS_MAX_BYTES, "suspects_cut").await else {
+        return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
+    };
+    match serde_json::from_slice::<Vec<SuspectRecord>>(&body) {
+        Ok(records) => node.suspects.merge(node.clock.now(), &records),
+        Err(e) => log::warn!(reason:% = e; "suspects_invalid"),
+    }
+    no_content()
+}
+
 /// Encodes an outcome as an answer between nodes.
 fn encode(reply: HopReply) -> Response<Payload> {
     let (result, refusal, mut resp) = match reply.outcome {
@@ -120,6 +142,7 @@
         resp.headers_mut().insert(ANSWER_HEADER, value);
     }
     set_notice(resp.headers_mut(), reply.notice);
+    set_crash(resp.headers_mut(), reply.crash);
     resp
 }
 
@@ -137,26 +160,75 @@
     if let Some(known) = known {
         node.local.adopt_notice(&node, known);
     }
-    let outcome = match node
-        .local
-        .acquire(&node, &hop.header, objective, deadline)
-        .await
-    {
-        Ok(permit) => run(&node, hop, permit, deadline, &mut report).await,
+    let outcome = admit(&node, hop, (objective, deadline), &mut report).await;
+    HopReply {
+        outcome,
+        call_failed: report.call_failed,
+        load: Some(node.local.load(node.clock.now())),
+        notice: node.local.shared_notice(known),
+        crash: report.crash,
+    }
+}
+
+/// Runs a request if it is admitted.
+async fn admit(
+    node: &Arc<Shared>,
+    hop: HopRequest,
+    (objective, deadline): (MonoTime, MonoTime),
+    report: &mut RunReport,
+) -> HopOutcome {
+    let admitted = async {
+        let isolation = isolate(node, &hop, objective).await?;
+        let header = &hop.header;
+        let permit = node.local.acquire(node, header, objective, deadline);
+        Ok((permit.await?, isolation))
+    };
+    match admitted.await {
+        Ok((permit, _isolation)) => run(node, hop, permit, deadline, report).await,
         Err(refusal) => {
             let id = hop.headers.get(&node.protocol.headers().request_id);
             node.log_admission_refusal(id, &hop.header, refusal);
             HopOutcome::Refused(refusal)
         }
+    }
+}
+
+/// Refuses a request that crashes targets, and lets one that may do so wait until it is the only one
+/// of them here.
+async fn isolate<'a>(
+    node: &'a Shared,
+    hop: &HopRequest,
+    objective: MonoTime,
+) -> Result<Option<SemaphorePermit<'a>>, Refusal> {
+    let verdict = || {
+        let now = node.clock.now();
+        node.suspects.verdict(now, || fingerprint_of(node, hop))
     };
-    HopReply {
-        outcome,
-        call_failed: report.call_failed,
-        load: Some(node.local.load(node.clock.now())),
-        notice: node.local.shared_notice(known),
+    let refuse = |left| Err(Refusal::with_retry_after(ErrorKind::CrashesTargets, left));
+    match verdict() {
+        SuspectVerdict::Allowed => return Ok(None),
+        SuspectVerdict::Isolated => {}
+        SuspectVerdict::Refused(left) => return refuse(left),
+    }
+    let limit = node.clock.instant(objective);
+    let Ok(permit) = tokio::time::timeout_at(limit, node.suspects.isolate()).await else {
+        return Err(Refusal::with_retry_after(
+            ErrorKind::Overloaded,
+            ISOLATION_RETRY_AFTER,
+        ));
+    };
+    // The one before may have been the same request.
+    match verdict() {
+        SuspectVerdict::Refused(left) => refuse(left),
+        SuspectVerdict::Allowed | SuspectVerdict::Isolated => Ok(permit),
     }
 }
 
+fn fingerprint_of(node: &Shared, hop: &HopRequest) -> Fingerprint {
+    let target = (&hop.method, &hop.uri, &*hop.header.host);
+    content::fingerprint(node, target, &hop.headers, &hop.body)
+}
+
 /// Facts about the run of a request besides its outcome.
 #[derive(Default)]
 struct RunReport {
@@ -209,10 +281,7 @@
     let mut running = node
         .local
         .record_running(node, id_bytes, hop.header.kind, lineage);
-    let fingerprint = {
-        let target = (&hop.method, &hop.uri, &*hop.header.host);
-        content::fingerprint(node, target, &hop.headers, &hop.body)
-    };
+    let (host, body) = (hop.header.host.clone(), hop.body.clone());
     let mut req = build_request(node, hop, &permit);
     let addr = node.settings().target_addr;
     let deadline_name = &node.protocol.headers().deadline_ms;
@@ -247,7 +316,7 @@
                 };
                 let outcome = receive(node, conn, resp, &mut permit, sent).await;
                 if matches!(outcome, HopOutcome::Lost(ErrorKind::ConnectionLost)) {
-                    report.crash = find_crash(node, &permit, id.as_ref(), fingerprint).await;
+                    report.crash = find_crash(node, &permit, &req, (&host, &body)).await;
                 }
                 return outcome;
             }
@@ -257,7 +326,7 @@
                     node.backend.record_garbled();
                 }
                 node.log_target_failure(id.as_ref(), &e.to_string());
-                report.crash = find_crash(node, &permit, id.as_ref(), fingerprint).await;
+                report.crash = find_crash(node, &permit, &req, (&host, &body)).await;
                 return HopOutcome::Lost(ErrorKind::ConnectionLost);
             }
         }
@@ -270,11 +339,16 @@
 async fn find_crash(
     node: &Shared,
     permit: &SlotPermit,
-    id: Option<&HeaderValue>,
-    fingerprint: Fingerprint,
+    req: &Request<Full<Bytes>>,
+    (host, body): (&str, &Bytes),
 ) -> Option<CrashId> {
     let crash = node.crashes.crash_of(node, permit.instance()).await?;
+    let target = (req.method(), req.uri(), host);
+    let fingerprint = content::fingerprint(node, target, req.headers(), body);
+    let id = req.headers().get(&node.protocol.headers().request_id);
     node.log_crash(id, permit.instance(), fingerprint);
+    node.suspects
+        .record_crash(node.clock.now(), crash, fingerprint);
     Some(crash)
 }
 
--- a/crates/rhubarblanding_request/src/suspect/mod.rs
+++ b/crates/rhubarblanding_request/src/suspect/mod.rs
@@ -1,5 +1,11 @@
-//! Identity of requests that may crash the backend servers that run them.
+//! Requests that may crash the backend servers that run them.
+//!
+//! A [`SuspectTable`] counts, for the content of each request, the crashes of backend servers during
+//! which it ran. A request that is completed once is cleared: one that crashes its server never is.
+//! Tables of several nodes are merged in any order, any number of times.
 
 mod fingerprint;
+mod table;
 
 pub use fingerprint::{CrashId, Fingerprint, RequestContent};
+pub use table::{CrashRecord, SuspectRecord, SuspectSettings, SuspectTable, SuspectVerdict};
