--- a/crates/rhubarblanding_mesh/src/process/mod.rs
+++ b/crates/rhubarblanding_mesh/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod control;
+mod crash;
 mod events;
 mod instance;
 mod lineage;
@@ -12,8 +13,10 @@
 mod notice;
 mod registration;
 mod shared;
+mod suspects;
 mod targets;
 
+pub use crash::CrashWatch;
 pub use events::{RefusalStage, RetryReason};
 pub use instance::{Confirmation, InstanceTracker, ReportVerdict};
 pub use lineage::{Lineage, RunningRequests};
@@ -24,4 +27,5 @@
     InstanceKey, InvalidNotice, KnownNotices, NoticeChange, NoticeTracker, SharedNotice,
 };
 pub use shared::Shared;
+pub use suspects::Suspects;
 pub use targets::{SentRequest, Targets};
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -16,9 +16,11 @@
 use rhubarblanding_store::StoreClient;
 use tokio::sync::{mpsc, watch};
 
+use super::crash::CrashWatch;
 use super::local::LocalTarget;
 use super::metrics::Metrics;
 use super::notice::{KnownNotices, SharedNotice};
+use super::suspects::Suspects;
 use super::targets::Targets;
 use crate::connection::{BackendPool, PeerPool};
 use crate::protocol::Protocol;
@@ -66,6 +68,10 @@
     pub local: LocalTarget,
     /// Connections to the local target.
     pub backend: BackendPool,
+    /// Crashes of the local target.
+    pub crashes: CrashWatch,
+    /// Requests that crash targets.
+    pub suspects: Suspects,
     /// Connections to other nodes.
     pub peers: PeerPool,
     /// Client of the key-value service.
@@ -117,6 +123,8 @@
             targets: Targets::new(clock, zone, router_settings(), seed),
             local: LocalTarget::new(SlotSettings::default()),
             backend: BackendPool::new(clock),
+            crashes: CrashWatch::default(),
+            suspects: Suspects::default(),
             peers: PeerPool::new(clock),
             store: StoreClient::with_codec(settings.store, protocol.store_codec()),
             metrics: Metrics::default(),
