Do not suspect requests whose content a target completed lately

Found by reading, shown by a test: when three targets were killed at once while they ran requests of the same content, that content had three crashes and no success, and was refused at every node for 10 minutes; nothing could clear it. Each node now remembers for one to two minutes, bounded, what its target completed, and does not count a crash against it. An answer that is forwarded as it comes counts as completed by nobody.

usual_requests_are_served_after_all_targets_were_killed failed before (503) and passes.

--- a/crates/rhubarblanding_mesh/src/connection/payload.rs
+++ b/crates/rhubarblanding_mesh/src/connection/payload.rs
@@ -59,6 +59,11 @@
         Self::Buffered((!bytes.is_empty()).then_some(bytes))
     }
 
+    /// Returns `true` if the whole body was received.
+    pub fn is_complete(&self) -> bool {
+        matches!(self, Self::Buffered(_))
+    }
+
     /// Creates a body of `first` followed by `rest`; `guard` is notified when it ends.
     pub fn stream(
         first: VecDeque<Bytes>,
--- a/crates/rhubarblanding_mesh/src/process/suspects.rs
+++ b/crates/rhubarblanding_mesh/src/process/suspects.rs
@@ -9,7 +9,8 @@
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_node::process::parking::{Mutex, lock};
 use rhubarblanding_request::suspect::{
-    CrashId, CrashRecord, Fingerprint, SuspectRecord, SuspectTable, SuspectVerdict,
+    CompletedRequests, CrashId, CrashRecord, Fingerprint, SuspectRecord, SuspectTable,
+    SuspectVerdict,
 };
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
@@ -31,6 +32,8 @@
 #[derive(Debug)]
 pub struct Suspects {
     table: Mutex<SuspectTable>,
+    /// What the local target completed lately.
+    completed: Mutex<CompletedRequests>,
     crashed: Notify,
     /// Held by the isolated request that runs at the local target.
     isolation: Semaphore,
@@ -40,6 +43,7 @@
     fn default() -> Self {
         Self {
             table: Mutex::default(),
+            completed: Mutex::default(),
             crashed: Notify::new(),
             isolation: Semaphore::new(1),
         }
@@ -79,13 +83,23 @@
         self.isolation.acquire().await.ok()
     }
 
-    /// Records that a request ran when the local target crashed, and tells the other nodes.
-    pub fn record_crash(&self, now: MonoTime, crash: CrashId, fingerprint: Fingerprint) {
+    /// Records that a request ran when the local target crashed, and tells the other nodes. Returns
+    /// `false` if it is no suspect: the target completed the same request before.
+    pub fn record_crash(&self, now: MonoTime, crash: CrashId, fingerprint: Fingerprint) -> bool {
+        if lock(&self.completed).contains(now, fingerprint) {
+            return false;
+        }
         let is_refused = lock(&self.table).record_crash(now, crash, fingerprint);
         if is_refused {
             log_refused(fingerprint);
         }
         self.crashed.notify_one();
+        true
+    }
+
+    /// Records that the local target completed a request.
+    pub fn record_served(&self, now: MonoTime, fingerprint: Fingerprint) {
+        lock(&self.completed).record(now, fingerprint);
     }
 
     /// Records a crash that the node beside the target has found.
--- a/crates/rhubarblanding_mesh/src/request/attempts.rs
+++ b/crates/rhubarblanding_mesh/src/request/attempts.rs
@@ -14,6 +14,7 @@
 use super::entry::{Exchange, NOT_READY_RETRY_AFTER};
 use super::forward::forward;
 use super::hop::{HopHeader, HopOutcome, HopReply, HopRequest};
+use super::serve::is_completed;
 use crate::connection::Payload;
 use crate::process::{RefusalStage, RetryReason, Shared};
 
@@ -167,7 +168,7 @@
                 false => TargetOutcome::Answered,
             });
             attempts.reached += 1;
-            if resp.status().is_success() {
+            if is_completed(&resp) {
                 node.suspects
                     .record_completed(|| exchange.fingerprint(node));
             }
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -117,7 +117,7 @@
 struct RunReport {
     /// `true` if the target failed because a call that it made had failed.
     call_failed: bool,
-    /// Crash of the target that ended the run.
+    /// Crash of the target that ended the run, if the request may be the cause.
     crash: Option<CrashId>,
 }
 
@@ -198,8 +198,15 @@
                     limit,
                 };
                 let outcome = receive(node, conn, resp, &mut permit, sent).await;
-                if matches!(outcome, HopOutcome::Lost(ErrorKind::ConnectionLost)) {
-                    report.crash = find_crash(node, &permit, &req, (&host, &body)).await;
+                match &outcome {
+                    HopOutcome::Answered(resp) if is_completed(resp) => {
+                        let fingerprint = fingerprint_sent(node, &req, (&host, &body));
+                        node.suspects.record_served(now, fingerprint);
+                    }
+                    HopOutcome::Lost(ErrorKind::ConnectionLost) => {
+                        report.crash = find_crash(node, &permit, &req, (&host, &body)).await;
+                    }
+                    _ => {}
                 }
                 return outcome;
             }
@@ -218,7 +225,8 @@
     HopOutcome::Refused(Refusal::new(ErrorKind::ConnectFailed))
 }
 
-/// Returns the crash of the target that ended a request without an answer, if it crashed.
+/// Returns the crash of the target that ended a request without an answer, if the target crashed and
+/// the request may be the cause.
 async fn find_crash(
     node: &Shared,
     permit: &SlotPermit,
@@ -226,13 +234,27 @@
     (host, body): (&str, &Bytes),
 ) -> Option<CrashId> {
     let crash = node.crashes.crash_of(node, permit.instance()).await?;
-    let target = (req.method(), req.uri(), host);
-    let fingerprint = content::fingerprint(node, target, req.headers(), body);
+    let fingerprint = fingerprint_sent(node, req, (host, body));
     let id = req.headers().get(&node.protocol.headers().request_id);
     node.log_crash(id, permit.instance(), fingerprint);
-    node.suspects
-        .record_crash(node.clock.now(), crash, fingerprint);
-    Some(crash)
+    let now = node.clock.now();
+    let is_suspect = node.suspects.record_crash(now, crash, fingerprint);
+    is_suspect.then_some(crash)
+}
+
+/// Returns `true` if the target ran a request to its end.
+pub(super) fn is_completed(resp: &Response<Payload>) -> bool {
+    resp.status().is_success() && resp.body().is_complete()
+}
+
+/// Returns the fingerprint of a request as it was sent to the target.
+fn fingerprint_sent(
+    node: &Shared,
+    req: &Request<Full<Bytes>>,
+    (host, body): (&str, &Bytes),
+) -> Fingerprint {
+    let target = (req.method(), req.uri(), host);
+    content::fingerprint(node, target, req.headers(), body)
 }
 
 /// Builds the request that is sent to the target, without its deadline.
--- a/crates/rhubarblanding_mesh/tests/mesh/crashes.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/crashes.rs
@@ -160,3 +160,36 @@
         .count();
     assert_that!(last, eq(1));
 }
+
+/// Many requests of a route may have the same content. They run at each target, also when all of them
+/// are killed at once, and are no reason for it.
+#[tokio::test]
+async fn usual_requests_are_served_after_all_targets_were_killed() {
+    let (fleet, reports) = fleet().await;
+    for i in 0..30 {
+        let resp = fleet.request(i % 2, "/safe/usual", &format!("a{i}")).await;
+        assert_that!(resp.map(|resp| resp.0.as_u16()), some(eq(200)));
+    }
+    let targets = &fleet.hosts[2..];
+    for host in targets {
+        host.target.set(Behaviour::Work);
+    }
+    let mut running = tokio::task::JoinSet::new();
+    for i in 0..24 {
+        let fleet = Arc::clone(&fleet);
+        let id = format!("b{i}");
+        running.spawn(async move { fleet.request(i % 2, "/safe/usual", &id).await });
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for host in targets {
+        host.target.set(Behaviour::Answer);
+        host.target.crash();
+    }
+    running.join_all().await;
+    tokio::time::sleep(DOWN + Duration::from_millis(800)).await;
+    for i in 0..20 {
+        let resp = fleet.request(i % 2, "/safe/usual", &format!("c{i}")).await;
+        assert_that!(resp.map(|resp| resp.0.as_u16()), some(eq(200)));
+    }
+    reports.abort();
+}
--- a/crates/rhubarblanding_request/tests/suspect.rs
+++ b/crates/rhubarblanding_request/tests/suspect.rs
@@ -9,8 +9,8 @@
 use rand::{Rng, SeedableRng};
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_request::suspect::{
-    CrashId, CrashRecord, Fingerprint, RequestContent, SuspectRecord, SuspectSettings,
-    SuspectTable, SuspectVerdict,
+    CompletedRequests, CrashId, CrashRecord, Fingerprint, RequestContent, SuspectRecord,
+    SuspectSettings, SuspectTable, SuspectVerdict,
 };
 
 const REQUEST: Fingerprint = Fingerprint(1);
@@ -323,3 +323,24 @@
         }
     }
 }
+
+#[test]
+fn completions_are_remembered_for_a_minute_or_two() {
+    let mut completed = CompletedRequests::default();
+    completed.record(at(59), REQUEST);
+    assert_that!(completed.contains(at(61), REQUEST), eq(true));
+    assert_that!(completed.contains(at(119), REQUEST), eq(true));
+    assert_that!(completed.contains(at(240), REQUEST), eq(false));
+    completed.record(at(300), REQUEST);
+    assert_that!(completed.contains(at(3_000), REQUEST), eq(false));
+}
+
+#[test]
+fn completions_are_bounded() {
+    let mut completed = CompletedRequests::default();
+    for request in 0..100_000 {
+        completed.record(at(1), Fingerprint(request));
+    }
+    assert_that!(completed.len(), le(2 * 16_384));
+    assert_that!(completed.contains(at(1), Fingerprint(99_999)), eq(true));
+}
