Refuse a waiting request once it is known to crash targets

A request was judged when it arrived at the node beside its target, and ran later when it got a slot, though its third crash had become known meanwhile. It is judged again with its slot; nothing has been sent by then, so the refusal is true. waiting_request_is_refused_when_it_is_known_to_crash_targets failed before (200, it ran) and passes.

--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -63,8 +63,16 @@
     let admitted = async {
         let isolation = isolate(node, &hop, objective).await?;
         let header = &hop.header;
-        let permit = node.local.acquire(node, header, objective, deadline);
-        Ok((permit.await?, isolation))
+        let permit = node
+            .local
+            .acquire(node, header, objective, deadline)
+            .await?;
+        // Targets may have crashed while the request waited for its slot.
+        let now = node.clock.now();
+        match node.suspects.refusal(now, || fingerprint_of(node, &hop)) {
+            Some(refusal) => Err(refusal),
+            None => Ok((permit, isolation)),
+        }
     };
     match admitted.await {
         Ok((permit, _isolation)) => run(node, hop, permit, deadline, report).await,
--- a/crates/rhubarblanding_mesh/tests/mesh/crashes.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/crashes.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
+use rhubarblanding_request::suspect::{Fingerprint, RequestContent};
 use tokio::task::JoinHandle;
 
 use super::ROUTES;
@@ -193,3 +194,43 @@
     }
     reports.abort();
 }
+
+/// A request that waits for a slot when other nodes tell that it crashes targets does not run.
+#[tokio::test]
+async fn waiting_request_is_refused_when_it_is_known_to_crash_targets() {
+    let fleet = Arc::new(Fleet::start(&["egresos", "turnos"], ROUTES).await);
+    fleet
+        .control(1, "report turnos i1 1 2 ready 1".to_owned())
+        .await;
+    let target = &fleet.hosts[1].target;
+    target.set(Behaviour::Work);
+    let ask = |path: &'static str| {
+        let fleet = Arc::clone(&fleet);
+        tokio::spawn(async move { fleet.request(0, path, path).await })
+    };
+    let running = ask("/once/running");
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let waiting = ask("/once/cause");
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let fingerprint = Fingerprint::from(RequestContent {
+        method: "POST",
+        host: "mesh.example",
+        path: "/once/cause",
+        caller: b"egresos",
+        body: b"question",
+    });
+    let crash = |id: u64| format!(r#"{{"id":{id},"age_ms":10,"cleared":false}}"#);
+    let crashes: Vec<String> = (1..=3).map(crash).collect();
+    let record = format!(
+        r#"[{{"fingerprint":{},"crashes":[{}]}}]"#,
+        fingerprint.0,
+        crashes.join(",")
+    );
+    let told = fleet.tell(1, "/suspects", record).await;
+    assert_that!(told.map(|status| status.as_u16()), some(eq(200)));
+    target.set(Behaviour::Answer);
+    running.abort();
+    let answer = waiting.await.expect("an end");
+    assert_that!(answer.map(|resp| resp.0.as_u16()), some(eq(503)));
+    assert_that!(fleet.runs_of("/once/cause"), eq(0));
+}
--- a/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
@@ -29,6 +29,7 @@
 /// A node and its target.
 pub struct Host {
     pub client: SocketAddr,
+    pub peer: SocketAddr,
     pub control: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
@@ -141,6 +142,18 @@
         Some(resp.status())
     }
 
+    /// Sends a message to the node of host `i` as another node does.
+    pub async fn tell(&self, i: usize, path: &str, body: String) -> Option<StatusCode> {
+        let client: HttpClient = Client::builder(TokioExecutor::new())
+            .http2_only(true)
+            .build_http();
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{path}", self.hosts[i].peer))
+            .body(Full::from(body));
+        Some(client.request(req.ok()?).await.ok()?.status())
+    }
+
     pub async fn get(&self, addr: SocketAddr, path: &str) -> Answer {
         let req = Request::builder().uri(format!("http://{addr}{path}"));
         self.send(req.body(Full::default()).ok()?).await
@@ -217,6 +230,7 @@
     }));
     Host {
         client: listen.client,
+        peer: listen.peer,
         control: listen.control,
         ready: listen.ready,
         metrics: listen.metrics,
