--- a/crates/rhubarblanding_mesh/tests/mesh/main.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/main.rs
@@ -3,17 +3,18 @@
 #![expect(clippy::expect_used, reason = "a test panics where its set-up fails")]
 
 mod crashes;
+mod endless;
 mod fleet;
 mod notices;
 mod protocol;
+mod store;
 mod target;
 
 use std::time::{Duration, Instant};
 
 use fleet::Fleet;
 use googletest::prelude::*;
-use rhubarblanding_standins::store::{Faults, Kv};
-use target::{Behaviour, Endless, header};
+use target::{Behaviour, header};
 
 const ROUTES: &[(&str, &str, bool)] = &[("/safe/", "turnos", true), ("/once/", "turnos", false)];
 
@@ -231,43 +232,6 @@
     assert_that!(fleet.hosts[0].target.arrived(), eq(2));
 }
 
-/// Nodes serve with their local state during an outage of the key-value service.
-#[tokio::test]
-async fn requests_are_served_during_a_store_outage() {
-    let fleet = fleet().await;
-    fleet.store.set_faults(Faults {
-        outage: true,
-        ..Default::default()
-    });
-    let began = Instant::now();
-    for i in 0..5 {
-        let (status, _, _) = fleet
-            .request(0, "/once/x", &format!("r{i}"))
-            .await
-            .expect("an answer");
-        assert_that!(status.as_u16(), eq(200));
-    }
-    assert_that!(began.elapsed(), lt(Duration::from_secs(1)));
-    let acknowledged = fleet.report(1, 2, "draining").await.map(|s| s.as_u16());
-    assert_that!(acknowledged, some(eq(200)));
-    assert_that!(began.elapsed(), lt(Duration::from_secs(2)));
-}
-
-/// Each call of the key-value service costs its users, failed ones included.
-#[tokio::test]
-async fn nodes_call_a_failing_store_at_most_twice_a_second() {
-    let fleet = fleet().await;
-    let before = fleet.store.calls().total();
-    fleet.store.set_faults(Faults {
-        outage: true,
-        ..Default::default()
-    });
-    const SECONDS: u64 = 6;
-    tokio::time::sleep(Duration::from_secs(SECONDS)).await;
-    let calls = fleet.store.calls().total() - before;
-    assert_that!(calls, le(2 * SECONDS * fleet.hosts.len() as u64));
-}
-
 #[tokio::test]
 async fn metrics_are_text_with_refusals_and_latency() {
     let fleet = fleet().await;
@@ -341,165 +305,3 @@
         tokio::time::sleep(Duration::from_millis(15)).await;
     }
 }
-
-/// A restarted node must be able to read which instances left, whatever the result of the first
-/// attempt to record a departure.
-async fn departure_is_recorded_after(faults: Faults, later_faults: Faults) {
-    let fleet = fleet().await;
-    fleet.store.set_faults(faults);
-    let acknowledged = fleet.control(1, "leave i1".to_owned()).await;
-    assert_that!(acknowledged.map(|s| s.as_u16()), some(eq(200)));
-    fleet.store.set_faults(later_faults);
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
-    assert_that!(fleet.stored("mesh/departed/").await, eq(1));
-}
-
-#[tokio::test]
-async fn departure_is_recorded_after_an_outage() {
-    let outage = Faults {
-        outage: true,
-        ..Faults::default()
-    };
-    departure_is_recorded_after(outage, Faults::default()).await;
-}
-
-#[tokio::test]
-async fn departure_is_recorded_after_lost_answers() {
-    let lost = Faults {
-        lose_answer_after_apply: 2,
-        ..Faults::default()
-    };
-    departure_is_recorded_after(lost, lost).await;
-}
-
-/// Time for nodes to notice that the key-value service was restored, and to write again.
-const RESTORE_LIMIT: Duration = Duration::from_secs(2);
-
-/// Host whose target runs a request to the route `/safe/`.
-async fn serving_host(fleet: &Fleet, id: &str) -> Option<usize> {
-    let (status, _, _) = fleet.request(1, "/safe/x", id).await.expect("an answer");
-    assert_that!(status.as_u16(), eq(200));
-    let ran = |host: &fleet::Host| {
-        let ran = host.target.ran();
-        ran.iter().any(|head| header(head, "t-id") == Some(id))
-    };
-    fleet.hosts.iter().position(ran)
-}
-
-/// A restore takes back revisions, but not the configuration in force; a later version is adopted
-/// though its revision was seen before.
-#[tokio::test]
-async fn configuration_is_followed_through_a_restore() {
-    let fleet = fleet().await;
-    let copy = fleet.store.copy();
-    for version in 2..8 {
-        fleet
-            .configure(version, &[("/safe/", "egresos", true)])
-            .await;
-    }
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    assert_that!(serving_host(&fleet, "r1").await, some(eq(0)));
-    fleet.restore_store(copy).await;
-    tokio::time::sleep(RESTORE_LIMIT).await;
-    assert_that!(serving_host(&fleet, "r2").await, some(eq(0)));
-    fleet.configure(9, ROUTES).await;
-    tokio::time::sleep(RESTORE_LIMIT).await;
-    assert_that!(serving_host(&fleet, "r3").await, some(gt(0)));
-}
-
-/// Addresses and departures that a restore lost are written again.
-#[tokio::test]
-async fn entries_are_written_again_after_a_restore() {
-    let fleet = fleet().await;
-    fleet.control(1, "leave i1".to_owned()).await;
-    fleet.report(2, 2, "draining").await;
-    assert_that!(fleet.stored("mesh/departed/").await, eq(2));
-    assert_that!(fleet.stored("mesh/nodes/").await, eq(3));
-    fleet.restore_store(Kv::default()).await;
-    tokio::time::sleep(RESTORE_LIMIT).await;
-    assert_that!(fleet.stored("mesh/departed/").await, eq(2));
-    assert_that!(fleet.stored("mesh/nodes/").await, eq(3));
-}
-
-/// Time after the deadline within which an endless answer is ended.
-const ENDLESS_GRACE: Duration = Duration::from_millis(700);
-/// A chunk that the test's client parses as fast as it arrives.
-const CHUNK: &str = "40\r\nbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb\r\n";
-/// Deadline of the test's requests.
-const DEADLINE: Duration = Duration::from_millis(2_500);
-
-/// A target sends bytes without end. The request ends once and in time, never as a success; the
-/// connection is closed, and other requests are served meanwhile.
-async fn endless_answer_is_ended(start: &'static str, unit: &'static str) {
-    let fleet = fleet().await;
-    let endless = Behaviour::Endless(Endless { start, unit });
-    fleet.hosts[1].target.set(endless);
-    fleet.hosts[2].target.set(endless);
-    let began = Instant::now();
-    let (ended, other) = tokio::join!(fleet.request(0, "/once/x", "r1"), async {
-        fleet
-            .configure(2, &[("/safe/", "egresos", true), ROUTES[1]])
-            .await;
-        tokio::time::sleep(Duration::from_millis(300)).await;
-        let asked = Instant::now();
-        let (status, _, _) = fleet.request(0, "/safe/x", "r2").await.expect("an answer");
-        (status.as_u16(), asked.elapsed())
-    });
-    assert_that!(began.elapsed(), lt(DEADLINE + ENDLESS_GRACE));
-    let status = ended.map(|(status, _, _)| status.as_u16());
-    assert_that!(status, any![none(), some(any![eq(502), eq(504)])]);
-    assert_that!(fleet.runs_of("r1"), eq(1));
-    assert_that!(other.0, eq(200));
-    assert_that!(other.1, lt(Duration::from_millis(500)));
-    tokio::time::sleep(ENDLESS_GRACE).await;
-    let closed: Vec<Duration> = fleet
-        .hosts
-        .iter()
-        .flat_map(|h| h.target.endless())
-        .collect();
-    assert_that!(closed, elements_are![lt(&(DEADLINE + ENDLESS_GRACE))]);
-}
-
-macro_rules! endless_cases {
-    ($($name:ident: ($($arg:expr),*);)+) => {
-        $(#[tokio::test] async fn $name() { endless_answer_is_ended($($arg),*).await; })+
-    };
-}
-
-endless_cases! {
-    endless_headers: ("", "a: b\r\n");
-    endless_header_line: ("a: ", "bbbbbbbb");
-    endless_status_line: ("HTTP/1.1 200 ", "bbbbbbbb");
-    endless_garbage: ("HTTP", "bbbbbbbb");
-    endless_interim_answers: ("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n");
-    endless_body_without_length: ("\r\n", "bbbbbbbb");
-    endless_body_in_chunks: ("transfer-encoding: chunked\r\n\r\n", CHUNK);
-    endless_chunk_extension: ("transfer-encoding: chunked\r\n\r\n8;", "bbbbbbbb");
-    endless_chunk_size: ("transfer-encoding: chunked\r\n\r\n", "00000000");
-    endless_trailers: ("transfer-encoding: chunked\r\n\r\n0\r\n", "a: b\r\n");
-}
-
-/// Bytes beyond the announced length belong to no request, however many follow.
-#[tokio::test]
-async fn endless_bytes_after_a_complete_answer_reach_nobody() {
-    let fleet = fleet().await;
-    let endless = Behaviour::Endless(Endless {
-        start: "content-length: 5\r\n\r\nwhole",
-        unit: "bbbbbbbb",
-    });
-    set_all(&fleet, endless);
-    for i in 0..6 {
-        let id = format!("r{i}");
-        let (status, _, body) = fleet.request(0, "/once/x", &id).await.expect("an answer");
-        assert_that!(status.as_u16(), eq(200));
-        assert_that!(body.as_str(), eq("whole"));
-    }
-    tokio::time::sleep(ENDLESS_GRACE).await;
-    let closed: Vec<Duration> = fleet
-        .hosts
-        .iter()
-        .flat_map(|h| h.target.endless())
-        .collect();
-    assert_that!(closed, each(lt(&ENDLESS_GRACE)));
-    assert_that!(closed.len(), eq(6));
-}
