--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -636,19 +636,20 @@
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         return await asyncio.wait_for(task, limit)
 
-    code = 2
+    code, lines = 2, []
     try:
-        broken = asyncio.run(run())
-        for line in broken:
-            rec("BROKEN", line)
-            print("BROKEN", line)
-        code = 1 if broken else 0
+        lines = [f"BROKEN {line}" for line in asyncio.run(run())]
+        code = 1 if lines else 0
     except asyncio.CancelledError:
-        print("cancelled")
+        lines = ["cancelled"]
     except Exception as e:  # pylint: disable=broad-except
-        rec("script", f"cannot run: {e!r}")
-        print(f"cannot run: {e!r}")
-    rec("script", f"ends with code {code}")
+        lines = [f"cannot run: {e!r}"]
+    lines.append(f"exit code {code}")
+    for line in lines:
+        rec("script", line)
     rec.write()
-    print(f"exit code {code}")
+    try:
+        print("\n".join(lines), flush=True)
+    except OSError:
+        sys.stdout = None
     sys.exit(code)
