--- a/review/1/case.py
+++ b/review/1/case.py
@@ -135,7 +135,6 @@
             for _, outcome, _ in book.values():
                 counts[outcome] = counts.get(outcome, 0) + 1
             rec("script", f"{name}: {counts}")
-            print(name, counts)
         ran = {run[1]: run[0] for target in targets for run in target.runs}
         broken = []
         for rid, (sent, outcome, ended) in orders.items():
