Log what a stopping node holds

The line of a planned stop's end gave one number, the requests that were read and not answered.

The begin and the end of a stop now have a line each, with the requests that wait for the local target and those that run there.

--- a/crates/rhubarblanding_mesh/src/process/lineage.rs
+++ b/crates/rhubarblanding_mesh/src/process/lineage.rs
@@ -63,6 +63,16 @@
         }
     }
 
+    /// Returns the number of running requests.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Returns `true` if no request runs.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
     /// Returns `true` if requests of the kind are known to make calls.
     pub fn makes_calls(&self, kind: KindKey) -> bool {
         self.usual_calls
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -39,6 +39,15 @@
     notices: NoticeTracker,
 }
 
+/// Numbers of requests that a node holds for its target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LocalRequests {
+    /// Requests that wait for a slot.
+    pub waiting: usize,
+    /// Requests at the target.
+    pub running: usize,
+}
+
 /// Local target of a node.
 pub struct LocalTarget {
     state: Mutex<State>,
@@ -130,6 +139,15 @@
         lock(&self.state).gate.inputs(now, kind, account)
     }
 
+    /// Returns the numbers of requests that wait for the target or run there.
+    pub fn requests(&self) -> LocalRequests {
+        let state = lock(&self.state);
+        LocalRequests {
+            waiting: state.waiting.len(),
+            running: state.running.len(),
+        }
+    }
+
     /// Returns the load that is reported to other nodes.
     pub fn load(&self, now: MonoTime) -> LoadReport {
         lock(&self.state).gate.load(now)
--- a/crates/rhubarblanding_mesh/src/process/mesh.rs
+++ b/crates/rhubarblanding_mesh/src/process/mesh.rs
@@ -7,7 +7,6 @@
 use error_stack::{Report, ResultExt};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rhubarblanding_core::prelude::*;
 use rhubarblanding_membership::prelude::Input;
 use rhubarblanding_node::process::{Lifecycle, Starting};
 use rhubarblanding_store::backoff::{Backoff, BackoffSettings};
@@ -15,7 +14,7 @@
 use tokio::sync::watch;
 
 use super::shared::Shared;
-use super::{configuration, control, freshness, member, quota, registration, suspects};
+use super::{configuration, control, freshness, member, quota, registration, stop, suspects};
 use crate::connection::{AheadCounters, ClientHandler, ClientServer, PeerServer, bind};
 use crate::protocol::Protocol;
 use crate::request::{handle_client, handle_peer};
@@ -33,24 +32,6 @@
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which idle connections to the target are closed.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time after the stop signal in which the platform redirects this node's clients: two readiness
-/// probes, a second apart, and requests in transit.
-const STOP_REDIRECT_TIME: Duration = Duration::from_millis(2_600);
-/// Time without a request after which clients are assumed to have been redirected. Those that keep
-/// a connection to a stopping node use it several times a second.
-const STOP_CLIENTS_IDLE: Duration = Duration::from_millis(700);
-/// Time after the stop signal from which new requests of clients are refused, with a retry delay,
-/// so that requests accepted before can finish.
-const STOP_REFUSE_CLIENTS_AFTER: Duration = Duration::from_millis(2_900);
-/// Time before the end from which requests of other nodes are refused, so that those accepted
-/// before can finish. Until then they are accepted: a node sends them only if it has no other target
-/// or the others are loaded.
-const STOP_REFUSE_PEERS_BEFORE: Duration = Duration::from_millis(1_500);
-/// Part of the grace period that is reserved for ending the process.
-const STOP_RESERVE: Duration = Duration::from_millis(500);
-/// Time between two checks of the open requests while stopping.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Reason for a failed start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartError {
@@ -159,7 +140,7 @@
             }
         }
         let lifecycle = lifecycle.drain();
-        drain(&self.node, &self.stop).await;
+        stop::drain(&self.node, &self.stop).await;
         lifecycle.stop();
     }
 }
@@ -182,46 +163,6 @@
     }
 }
 
-/// Finishes the open requests; new ones are accepted until the clients have been redirected.
-async fn drain(node: &Arc<Shared>, stop: &watch::Sender<bool>) {
-    let began = tokio::time::Instant::now();
-    node.set_stopping();
-    node.announce();
-    let end = node.settings().grace_period.saturating_sub(STOP_RESERVE);
-    loop {
-        let elapsed = began.elapsed();
-        if elapsed >= STOP_REFUSE_CLIENTS_AFTER {
-            node.refuse_clients();
-        }
-        if elapsed >= end.saturating_sub(STOP_REFUSE_PEERS_BEFORE) {
-            node.refuse_peers();
-        }
-        let clients_redirected = node.open_requests() == 0 && node.idle_time() >= STOP_CLIENTS_IDLE;
-        if elapsed >= end || (clients_redirected && elapsed >= STOP_REDIRECT_TIME) {
-            break;
-        }
-        tokio::time::sleep(STOP_POLL_INTERVAL).await;
-    }
-    node.refuse_clients();
-    node.refuse_peers();
-    stop.send_replace(true);
-    loop {
-        // Requests that arrived at the last moment must be read before they are counted.
-        tokio::time::sleep(STOP_POLL_INTERVAL).await;
-        let is_idle = node.open_requests() == 0 && !node.has_pending_records();
-        if is_idle || began.elapsed() >= end {
-            break;
-        }
-    }
-    log::info!(open_requests = node.open_requests(); "drained");
-    node.member_input(Input::Announce {
-        state: TargetState::Stopped,
-        slots: 0,
-    });
-    // Leaves time to send the last message.
-    tokio::time::sleep(STOP_POLL_INTERVAL).await;
-}
-
 async fn end_listing_wait(listed_tx: watch::Sender<bool>) {
     tokio::time::sleep(LISTING_WAIT_MAX).await;
     listed_tx.send_replace(true);
--- a/crates/rhubarblanding_mesh/src/process/mod.rs
+++ b/crates/rhubarblanding_mesh/src/process/mod.rs
@@ -17,6 +17,7 @@
 mod quota;
 mod registration;
 mod shared;
+mod stop;
 mod suspects;
 mod targets;
 
