Answer all that a stopping node has read before it ends

Calls that it took late were cut at work.

Cause: a request's deadline took no account of the process that has to answer it. Requests that wait for a slot beside another node wait until the client's deadline, and nothing tells that node that their own node ends. The same holds for what waits beside the stopping node (answered 502, though it had not run), for calls of running requests, between attempts and while a body is read.

Change: from the signal on no deadline lies beyond the time by which the process answers, also of what waits and of what is handed to targets. A stopping node tells those that hold requests of it how much time is left; their gates refuse at once what is not expected to start in time. The refusal is 503 with a retry delay only for what was not sent to a target.

The tests of the mesh run each node on a runtime of its own now, whose connections end with it as those of a process do.

--- a/crates/rhubarblanding_admission/src/slots/mod.rs
+++ b/crates/rhubarblanding_admission/src/slots/mod.rs
@@ -12,7 +12,9 @@
 mod pacer;
 mod queue;
 mod rate;
+mod types;
 
 pub use estimate::KindKey;
-pub use gate::{SlotArrival, SlotDecision, SlotEvent, SlotGate, SlotInputs, SlotSettings};
+pub use gate::SlotGate;
 pub use rate::{InvalidRate, RequestRate};
+pub use types::{SlotArrival, SlotDecision, SlotEvent, SlotInputs, SlotSettings};
--- a/crates/rhubarblanding_admission/tests/slots/main.rs
+++ b/crates/rhubarblanding_admission/tests/slots/main.rs
@@ -349,3 +349,44 @@
     let admitted = decisions.filter(|d| *d == SlotDecision::Admitted).count();
     assert_that!(admitted, eq(100));
 }
+
+#[test]
+fn lowered_deadline_refuses_what_cannot_start_in_time() {
+    let mut gate = busy_gate();
+    for id in 2..=4 {
+        gate.arrive(at(10), arrival(id, 0, 1_000, 5_000));
+    }
+    // The running request ends at 20; each of the others holds the slot for 10 ms.
+    for id in [2, 3, 4] {
+        gate.limit_deadline(at(12), id, at(55));
+    }
+    let refused: Vec<u64> = gate
+        .poll(at(12))
+        .into_iter()
+        .filter_map(|event| match event {
+            SlotEvent::Refused(id, _) => Some(id),
+            SlotEvent::Admitted(_) => None,
+        })
+        .collect();
+    assert_that!(refused, eq(&vec![4]));
+    gate.finished(at(20), 1, true);
+    assert_that!(gate.poll(at(20)), eq(&vec![SlotEvent::Admitted(2)]));
+    // A request whose time is over is refused, not run.
+    let events = gate.poll(at(60));
+    assert_that!(
+        events,
+        elements_are![matches_pattern!(SlotEvent::Refused(eq(&3), _))]
+    );
+}
+
+#[test]
+fn lowered_deadline_does_not_affect_running_requests() {
+    let mut gate = busy_gate();
+    gate.limit_deadline(at(12), 1, at(13));
+    assert_that!(gate.poll(at(20)), eq(&vec![]));
+    // A later deadline changes nothing either.
+    gate.arrive(at(20), arrival(2, 0, 1_000, 5_000));
+    gate.limit_deadline(at(21), 2, at(6_000));
+    gate.finished(at(22), 1, true);
+    assert_that!(gate.poll(at(22)), eq(&vec![SlotEvent::Admitted(2)]));
+}
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderValue;
 use rhubarblanding_admission::slots::{
     KindKey, SlotArrival, SlotDecision, SlotEvent, SlotGate, SlotInputs, SlotSettings,
 };
@@ -26,13 +27,22 @@
 /// Time after a refused connection during which the target counts as down.
 const UNREACHABLE_HOLD: Duration = Duration::from_millis(250);
 
-type Verdict = Result<(), Refusal>;
+/// Decision on a waiting request; the time is its deadline, which may have been lowered meanwhile.
+type Verdict = Result<MonoTime, Refusal>;
+
+/// Request that waits for a slot.
+struct Waiter {
+    /// Identifier that the client gave the request.
+    request_id: Option<HeaderValue>,
+    deadline: MonoTime,
+    verdict: oneshot::Sender<Verdict>,
+}
 
 struct State {
     tracker: InstanceTracker,
     confirmation: Confirmation,
     gate: SlotGate,
-    waiting: HashMap<u64, oneshot::Sender<Verdict>>,
+    waiting: HashMap<u64, Waiter>,
     next_id: u64,
     unreachable_until: MonoTime,
     running: RunningRequests,
@@ -82,10 +92,11 @@
         &self,
         node: &Arc<Shared>,
         header: &HopHeader,
-        objective: MonoTime,
-        deadline: MonoTime,
+        request_id: Option<&HeaderValue>,
+        (objective, deadline): (MonoTime, MonoTime),
     ) -> Result<SlotPermit, Refusal> {
         let now = node.clock.now();
+        let deadline = node.limit_deadline(deadline);
         let (id, verdict) = {
             let mut state = lock(&self.state);
             state.check(now, node, &header.service)?;
@@ -98,7 +109,7 @@
                 account: header.account,
                 is_call: header.is_call,
                 makes_calls: state.running.makes_calls(header.kind),
-                objective,
+                objective: objective.min(deadline),
                 deadline,
             };
             match state.gate.arrive(now, arrival) {
@@ -106,32 +117,69 @@
                 SlotDecision::Refused(refusal) => return Err(refusal),
                 SlotDecision::Queued => {
                     let (tx, rx) = oneshot::channel();
-                    state.waiting.insert(id, tx);
+                    let waiter = Waiter {
+                        request_id: request_id.cloned(),
+                        deadline,
+                        verdict: tx,
+                    };
+                    state.waiting.insert(id, waiter);
                     let inputs = state.gate.inputs(now, header.kind, header.account);
                     (id, Some((rx, Backlog::from(&inputs))))
                 }
             }
         };
+        let mut admitted_until = deadline;
         if let Some((verdict, backlog)) = verdict {
             self.changed.notify_one();
             let guard = WaitGuard::new(node, id);
             let verdict = verdict.await;
             guard.disarm();
-            verdict.unwrap_or(Err(Refusal::new(ErrorKind::Internal)))?;
+            admitted_until = verdict.unwrap_or(Err(Refusal::new(ErrorKind::Internal)))?;
             let waited = node.clock.now().since(now);
             node.metrics.waited_for_slot(header.rank, backlog, waited);
         }
-        self.permit(node, id)
+        self.permit(node, id, admitted_until)
     }
 
     /// Creates the permit of an admitted request; fails if no instance serves any more.
-    fn permit(&self, node: &Arc<Shared>, id: u64) -> Result<SlotPermit, Refusal> {
+    fn permit(
+        &self,
+        node: &Arc<Shared>,
+        id: u64,
+        deadline: MonoTime,
+    ) -> Result<SlotPermit, Refusal> {
         let slot = Slot::new(node, id);
         let instance = lock(&self.state).tracker.serving().cloned();
         let Some(instance) = instance else {
             return Err(Refusal::new(ErrorKind::TargetDraining));
         };
-        Ok(SlotPermit::new(slot, instance))
+        Ok(SlotPermit::new(slot, instance, deadline))
+    }
+
+    /// Lowers the deadlines of all waiting requests to `deadline`. Those that are not expected to
+    /// start in time are refused at once.
+    pub fn limit_waiting(&self, now: MonoTime, deadline: MonoTime) {
+        self.limit(now, deadline, |_| true);
+    }
+
+    /// Lowers the deadlines of the waiting requests with one of the identifiers `ids`.
+    pub fn limit_requests(&self, now: MonoTime, deadline: MonoTime, ids: &HashSet<&[u8]>) {
+        self.limit(now, deadline, |waiter| {
+            let id = waiter.request_id.as_ref();
+            id.is_some_and(|id| ids.contains(id.as_bytes()))
+        });
+    }
+
+    fn limit(&self, now: MonoTime, deadline: MonoTime, is_limited: impl Fn(&Waiter) -> bool) {
+        let state = &mut *lock(&self.state);
+        for (id, waiter) in &mut state.waiting {
+            if waiter.deadline > deadline && is_limited(waiter) {
+                waiter.deadline = deadline;
+                state.gate.limit_deadline(now, *id, deadline);
+            }
+        }
+        state.dispatch(now);
+        self.changed.notify_one();
     }
 
     /// Returns the current inputs of the admission decision for requests of `kind` and `account`.
@@ -427,13 +475,16 @@
     /// Sends the decisions to the waiting requests.
     fn dispatch(&mut self, now: MonoTime) {
         for verdict in self.gate.poll(now) {
-            let (id, verdict) = match verdict {
-                SlotEvent::Admitted(id) => (id, Ok(())),
-                SlotEvent::Refused(id, refusal) => (id, Err(refusal)),
+            let (id, refusal) = match verdict {
+                SlotEvent::Admitted(id) => (id, None),
+                SlotEvent::Refused(id, refusal) => (id, Some(refusal)),
             };
-            let waiter = self.waiting.remove(&id);
-            // The request was cancelled before the decision.
-            if waiter.is_none_or(|waiter| waiter.send(verdict).is_err()) {
+            let is_heard = self.waiting.remove(&id).is_some_and(|waiter| {
+                let verdict = refusal.map_or(Ok(waiter.deadline), Err);
+                waiter.verdict.send(verdict).is_ok()
+            });
+            if !is_heard {
+                // The request was cancelled before the decision.
                 self.gate.cancelled(now, id);
             }
         }
--- a/crates/rhubarblanding_mesh/src/process/mod.rs
+++ b/crates/rhubarblanding_mesh/src/process/mod.rs
@@ -13,6 +13,7 @@
 mod message;
 mod metrics;
 mod notice;
+mod open_hops;
 mod permit;
 mod quota;
 mod registration;
@@ -33,8 +34,11 @@
 pub use notice::{
     InstanceKey, InvalidNotice, KnownNotices, NoticeChange, NoticeTracker, SharedNotice,
 };
+pub use open_hops::{HopGuard, OpenHops};
 pub use permit::SlotPermit;
 pub use quota::{QuotaAsk, Quotas};
+pub(crate) use shared::STOPPING_RETRY_AFTER;
 pub use shared::Shared;
+pub use stop::StopMessage;
 pub use suspects::Suspects;
 pub use targets::{SentRequest, Targets};
--- a/crates/rhubarblanding_mesh/src/process/permit.rs
+++ b/crates/rhubarblanding_mesh/src/process/permit.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use http::StatusCode;
+use rhubarblanding_core::prelude::*;
 
 use super::shared::Shared;
 use crate::protocol::Instance;
@@ -11,6 +12,7 @@
 pub struct SlotPermit {
     slot: Option<Slot>,
     instance: Instance,
+    deadline: MonoTime,
 }
 
 /// Slot of an admitted request. Dropping it frees the slot.
@@ -31,13 +33,19 @@
 }
 
 impl SlotPermit {
-    pub(super) fn new(slot: Slot, instance: Instance) -> Self {
+    pub(super) fn new(slot: Slot, instance: Instance, deadline: MonoTime) -> Self {
         Self {
             slot: Some(slot),
             instance,
+            deadline,
         }
     }
 
+    /// Returns the time after which the answer is of no use.
+    pub fn deadline(&self) -> MonoTime {
+        self.deadline
+    }
+
     /// Returns the instance that the request is addressed to.
     pub fn instance(&self) -> &Instance {
         &self.instance
@@ -55,6 +63,7 @@
         Some(Self {
             slot: Some(self.slot.take()?),
             instance: self.instance.clone(),
+            deadline: self.deadline,
         })
     }
 }
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -21,6 +21,7 @@
 use super::local::LocalTarget;
 use super::metrics::Metrics;
 use super::notice::{KnownNotices, SharedNotice};
+use super::open_hops::OpenHops;
 use super::quota::{QuotaAsk, Quotas};
 use super::suspects::Suspects;
 use super::targets::Targets;
@@ -53,6 +54,9 @@
 /// Changes that a node forwards in one burst.
 const SPREAD_BURST: f64 = 400.0;
 
+/// `Retry-After` of a stopping node; the client retries at another node.
+pub(crate) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 struct Member {
     membership: Membership,
     rng: SmallRng,
@@ -80,6 +84,8 @@
     pub quotas: Quotas,
     /// Connections to other nodes.
     pub peers: PeerPool,
+    /// Requests of this node that other nodes hold.
+    pub hops: OpenHops,
     /// Client of the key-value service.
     pub store: StoreClient,
     /// Counters and histograms.
@@ -91,7 +97,8 @@
     outputs: mpsc::UnboundedSender<Output>,
     budgets: Mutex<HashMap<ServiceName, WindowBudget>>,
     notices: Mutex<KnownNotices>,
-    stopping: AtomicBool,
+    /// Time by which requests are answered, once the process is stopping.
+    answer_by: watch::Sender<Option<MonoTime>>,
     refusing_peers: AtomicBool,
     refusing_clients: AtomicBool,
     pending_records: AtomicUsize,
@@ -140,6 +147,7 @@
             freshness: FreshnessState::default(),
             quotas,
             peers: PeerPool::new(clock),
+            hops: OpenHops::default(),
             store: StoreClient::with_codec(settings.store, protocol.store_codec()),
             metrics: Metrics::default(),
             settings: Mutex::new(Arc::new(settings)),
@@ -149,7 +157,7 @@
             outputs,
             budgets: Mutex::default(),
             notices: Mutex::default(),
-            stopping: AtomicBool::new(false),
+            answer_by: watch::Sender::new(None),
             refusing_peers: AtomicBool::new(false),
             refusing_clients: AtomicBool::new(false),
             pending_records: AtomicUsize::new(0),
@@ -205,12 +213,55 @@
 
     /// Returns `true` if the process is stopping.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.answer_by.borrow().is_some()
+    }
+
+    /// Marks the process as stopping: it answers the requests that it holds until `answer_by`.
+    pub fn set_stopping(&self, answer_by: MonoTime) {
+        self.answer_by.send_replace(Some(answer_by));
+        self.local.limit_waiting(self.clock.now(), answer_by);
+    }
+
+    /// Returns the time by which a request with this deadline is answered.
+    pub fn limit_deadline(&self, deadline: MonoTime) -> MonoTime {
+        let limit = *self.answer_by.borrow();
+        limit.map_or(deadline, |limit| limit.min(deadline))
+    }
+
+    /// Returns the refusal of a request with this deadline. What a stopping node has no time for
+    /// may have time at another one.
+    pub fn refusal_within(&self, deadline: MonoTime, refusal: Refusal) -> Refusal {
+        let is_for_time = matches!(
+            refusal.kind,
+            ErrorKind::Overloaded | ErrorKind::QueueTimeout | ErrorKind::DeadlineBeforeRun
+        );
+        match is_for_time && self.limit_deadline(deadline) < deadline {
+            true => Refusal::with_retry_after(ErrorKind::NodeDraining, STOPPING_RETRY_AFTER),
+            false => refusal,
+        }
+    }
+
+    /// Waits until the time by which a stopping node answers.
+    pub async fn answer_time_over(&self) {
+        let mut changed = self.answer_by.subscribe();
+        // The sender exists as long as this node.
+        let limit = changed.wait_for(Option::is_some).await;
+        if let Some(limit) = limit.ok().and_then(|limit| *limit) {
+            tokio::time::sleep_until(self.clock.instant(limit)).await;
+        }
     }
 
-    /// Marks the process as stopping.
-    pub fn set_stopping(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Waits until `grace` after the time by which a request with this deadline is answered.
+    pub async fn expired(&self, deadline: MonoTime, grace: Duration) {
+        let mut changed = self.answer_by.subscribe();
+        loop {
+            let at = self.limit_deadline(deadline) + grace;
+            tokio::select! {
+                () = tokio::time::sleep_until(self.clock.instant(at)) => return,
+                // The sender exists as long as this node.
+                _ = changed.changed() => {}
+            }
+        }
     }
 
     /// Returns `true` if requests of other nodes are refused because running requests need the
--- a/crates/rhubarblanding_mesh/src/request/attempts.rs
+++ b/crates/rhubarblanding_mesh/src/request/attempts.rs
@@ -66,7 +66,7 @@
     let mut attempts = Attempts::default();
     loop {
         let now = node.clock.now();
-        if now >= exchange.deadline {
+        if now >= node.limit_deadline(exchange.deadline) {
             let kind = match attempts.reached {
                 0 => ErrorKind::QueueTimeout,
                 _ => ErrorKind::DeadlineExceeded,
@@ -120,6 +120,7 @@
     refused: Refusal,
     attempts: &Attempts,
 ) -> Response<Payload> {
+    let refused = node.refusal_within(exchange.deadline, refused);
     let stage = RefusalStage::AfterSelection {
         service: &exchange.service,
         version: exchange.route.version(),
@@ -136,11 +137,14 @@
     target: TargetId,
     attempts: &mut Attempts,
 ) -> NextStep {
-    let limit = node.clock.instant(exchange.deadline + ANSWER_GRACE);
     let hop = hop_request(node, exchange, target.host, attempts.reached);
     let sent = node.targets.started(&exchange.service, target);
-    let reply = tokio::time::timeout_at(limit, forward(node, target.host, hop)).await;
-    let Ok(HopReply {
+    let reply = tokio::select! {
+        biased;
+        reply = forward(node, target.host, hop) => Some(reply),
+        () = node.expired(exchange.deadline, ANSWER_GRACE) => None,
+    };
+    let Some(HopReply {
         outcome,
         call_failed,
         load,
@@ -275,11 +279,12 @@
 
 fn hop_request(node: &Shared, exchange: &Exchange, host: HostId, reached: u32) -> HopRequest {
     let now = node.clock.now();
+    let deadline = node.limit_deadline(exchange.deadline);
     HopRequest {
         header: HopHeader {
             service: exchange.service.clone(),
-            deadline: now.until(exchange.deadline),
-            objective: now.until(exchange.objective),
+            deadline: now.until(deadline),
+            objective: now.until(exchange.objective.min(deadline)),
             rank: exchange.rank,
             account: exchange.account,
             is_call: exchange.is_call,
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -19,7 +19,7 @@
 use super::hop::{ANSWER_HEADER, NOTICE_HEADER, REQUEST_HEADER};
 use crate::connection::{Arrival, Payload, RequestBody, Turn};
 use crate::process::FRESHNESS_HEADER;
-use crate::process::{RefusalStage, Shared};
+use crate::process::{RefusalStage, STOPPING_RETRY_AFTER, Shared};
 use crate::version::ChosenRoute;
 
 /// `Retry-After` while this node has no configuration or no target for the service: both usually
@@ -27,9 +27,6 @@
 pub(super) const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` for a route with a fault, which lasts until the operators write a new version.
 const UNUSABLE_ROUTE_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// `Retry-After` of a stopping node; the client retries at another node.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Request that is being served.
 pub(super) struct Exchange {
     pub(super) id: HeaderValue,
@@ -142,7 +139,14 @@
     let account = identify(node, &version, &route, &mut parts.headers, lineage).map_err(refusal)?;
     account.charge(node, &request_id).await.map_err(refusal)?;
     let limit = version.configuration().limits.body_bytes;
-    let body = match read_whole(body, limit).await {
+    let body = tokio::select! {
+        biased;
+        body = read_whole(body, limit) => body,
+        () = node.answer_time_over() => {
+            return Err(reject(ErrorKind::NodeDraining, Some(STOPPING_RETRY_AFTER)));
+        }
+    };
+    let body = match body {
         Ok(body) => body,
         Err(ReadError::TooLarge) => return Err(reject(ErrorKind::BodyTooLarge, None)),
         Err(ReadError::Cut) => return Err(reject(ErrorKind::InvalidRequest, None)),
--- a/crates/rhubarblanding_mesh/src/request/forward.rs
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -28,6 +28,8 @@
         return reply(HopOutcome::Refused(Refusal::new(ErrorKind::InvalidRequest)));
     };
     let asked_at = ask_along(node, req.headers_mut());
+    let id = req.headers().get(&node.protocol.headers().request_id);
+    let _open = id.map(|id| node.hops.begin(host, id.clone()));
     match node.peers.send(host.0, req).await {
         Ok(mut resp) => {
             learn(node, resp.headers_mut(), asked_at);
--- a/crates/rhubarblanding_mesh/src/request/peer.rs
+++ b/crates/rhubarblanding_mesh/src/request/peer.rs
@@ -12,13 +12,13 @@
 
 use super::hop::{
     ANSWER_HEADER, FRESHNESS_PATH, GOSSIP_PATH, HopHeader, HopOutcome, HopReply, HopRequest,
-    HopResult, HopStatus, QUOTA_PATH, REQUEST_HEADER, SUSPECTS_PATH, set_crash, set_notice,
-    take_notice,
+    HopResult, HopStatus, QUOTA_PATH, REQUEST_HEADER, STOP_PATH, SUSPECTS_PATH, set_crash,
+    set_notice, take_notice,
 };
 use super::serve::serve_local;
 use super::small_body::read_logged;
 use crate::connection::Payload;
-use crate::process::{FRESHNESS_HEADER, Shared, word};
+use crate::process::{FRESHNESS_HEADER, Shared, StopMessage, word};
 
 /// Maximum size of a membership message, in bytes.
 const GOSSIP_MAX_BYTES: usize = 4 << 20;
@@ -26,6 +26,8 @@
 const SUSPECTS_MAX_BYTES: usize = 1 << 20;
 /// Maximum size of an ask for allotments, in bytes.
 const QUOTA_MAX_BYTES: usize = 1 << 20;
+/// Maximum size of a message of a stopping node, in bytes.
+const STOP_MAX_BYTES: usize = 1 << 20;
 /// Maximum size of a request between nodes, in bytes.
 const BODY_MAX_BYTES: usize = 64 << 20;
 
@@ -41,6 +43,7 @@
             GOSSIP_PATH => return receive_gossip(&node, body).await,
             SUSPECTS_PATH => return receive_suspects(&node, body).await,
             QUOTA_PATH => return receive_quota_ask(&node, body).await,
+            STOP_PATH => return receive_stop(&node, body).await,
             FRESHNESS_PATH => return with_word(&node, no_content()),
             _ => {}
         }
@@ -121,6 +124,18 @@
     no_content()
 }
 
+/// Handles the message of a stopping node whose requests wait here.
+async fn receive_stop(node: &Shared, body: Incoming) -> Response<Payload> {
+    let Some(body) = read_logged(body, STOP_MAX_BYTES, "stop_message_cut").await else {
+        return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
+    };
+    match serde_json::from_slice::<StopMessage>(&body) {
+        Ok(msg) => msg.apply(node),
+        Err(e) => log::warn!(reason:% = e; "stop_message_invalid"),
+    }
+    no_content()
+}
+
 /// Answers another node's ask for allotments.
 async fn receive_quota_ask(node: &Shared, body: Incoming) -> Response<Payload> {
     let Some(body) = read_logged(body, QUOTA_MAX_BYTES, "quota_ask_cut").await else {
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -36,14 +36,13 @@
 /// Passes a request through the admission gate and sends it to the local target.
 pub async fn serve_local(node: Arc<Shared>, hop: HopRequest) -> HopReply {
     let now = node.clock.now();
-    let deadline = now + hop.header.deadline;
-    let objective = now + hop.header.objective;
+    let times = (now + hop.header.objective, now + hop.header.deadline);
     let mut report = RunReport::default();
     let (known, kind) = (hop.notice, hop.header.kind);
     if let Some(known) = known {
         node.local.adopt_notice(&node, known);
     }
-    let outcome = admit(&node, hop, (objective, deadline), &mut report).await;
+    let outcome = admit(&node, hop, times, &mut report).await;
     HopReply {
         outcome,
         call_failed: report.call_failed,
@@ -62,11 +61,11 @@
 ) -> HopOutcome {
     let admitted = async {
         let isolation = isolate(node, &hop, objective).await?;
-        let header = &hop.header;
-        let permit = node
+        let id = hop.headers.get(&node.protocol.headers().request_id);
+        let acquiring = node
             .local
-            .acquire(node, header, objective, deadline)
-            .await?;
+            .acquire(node, &hop.header, id, (objective, deadline));
+        let permit = acquiring.await?;
         // Targets may have crashed while the request waited for its slot.
         let now = node.clock.now();
         match node.suspects.refusal(now, || fingerprint_of(node, &hop)) {
@@ -75,8 +74,9 @@
         }
     };
     match admitted.await {
-        Ok((permit, _isolation)) => run(node, hop, permit, deadline, report).await,
+        Ok((permit, _isolation)) => run(node, hop, permit, report).await,
         Err(refusal) => {
+            let refusal = node.refusal_within(deadline, refusal);
             let id = hop.headers.get(&node.protocol.headers().request_id);
             node.log_admission_refusal(id, &hop.header, refusal);
             HopOutcome::Refused(refusal)
@@ -101,12 +101,15 @@
         SuspectVerdict::Isolated => {}
         SuspectVerdict::Refused(left) => return refuse(left),
     }
-    let limit = node.clock.instant(objective);
-    let Ok(permit) = tokio::time::timeout_at(limit, node.suspects.isolate()).await else {
-        return Err(Refusal::with_retry_after(
-            ErrorKind::Overloaded,
-            ISOLATION_RETRY_AFTER,
-        ));
+    let permit = tokio::select! {
+        biased;
+        permit = node.suspects.isolate() => permit,
+        () = node.expired(objective, Duration::ZERO) => {
+            return Err(Refusal::with_retry_after(
+                ErrorKind::Overloaded,
+                ISOLATION_RETRY_AFTER,
+            ));
+        }
     };
     // The one before may have been the same request.
     match verdict() {
@@ -134,19 +137,24 @@
     node: &Arc<Shared>,
     hop: HopRequest,
     permit: SlotPermit,
-    deadline: MonoTime,
     report: &mut RunReport,
 ) -> HopOutcome {
-    let limit = node.clock.instant(deadline + DEADLINE_GRACE);
+    let deadline = permit.deadline();
     let id = hop
         .headers
         .get(&node.protocol.headers().request_id)
         .cloned();
-    match tokio::time::timeout_at(limit, attempt(node, hop, permit, deadline, report)).await {
-        Ok(outcome) => outcome,
-        Err(_) => {
-            node.log_target_failure(id.as_ref(), "deadline");
-            HopOutcome::Lost(ErrorKind::DeadlineExceeded)
+    tokio::select! {
+        biased;
+        outcome = attempt(node, hop, permit, report) => outcome,
+        () = node.expired(deadline, DEADLINE_GRACE) => {
+            let (reason, kind) = match node.limit_deadline(deadline) < deadline {
+                false => ("deadline", ErrorKind::DeadlineExceeded),
+                // Its sender may have time left for another target.
+                true => ("node_stops", ErrorKind::ConnectionLost),
+            };
+            node.log_target_failure(id.as_ref(), reason);
+            HopOutcome::Lost(kind)
         }
     }
 }
@@ -155,9 +163,9 @@
     node: &Arc<Shared>,
     hop: HopRequest,
     mut permit: SlotPermit,
-    deadline: MonoTime,
     report: &mut RunReport,
 ) -> HopOutcome {
+    let deadline = permit.deadline();
     let id = hop
         .headers
         .get(&node.protocol.headers().request_id)
--- a/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
@@ -1,7 +1,6 @@
 //! A fleet of nodes with their targets and a key-value service, all in the test process.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http::{Method, Request, StatusCode};
@@ -14,12 +13,12 @@
 use rhubarblanding_mesh::settings::{AccountBounds, ListenSettings, RetryBound};
 use rhubarblanding_standins::process::free_addresses;
 use rhubarblanding_standins::store::{Faults, Kv, StoreServer};
-use tokio::sync::oneshot;
 
 use rhubarblanding_store::{Key, Revision, StoreClient, StoreSettings};
 
 use super::gate::Gate;
-use super::protocol::{CONFIGURATION_KEY, TestProtocol, configuration_text};
+use super::node::Node;
+use super::protocol::{CONFIGURATION_KEY, configuration_text};
 use super::target::Target;
 
 /// Maximum wait for a fleet to become ready.
@@ -27,6 +26,22 @@
 
 type HttpClient = Client<HttpConnector, Full<bytes::Bytes>>;
 
+/// Settings of the hosts of a fleet that differ between tests.
+#[derive(Clone, Copy)]
+pub struct HostOptions {
+    pub accounts: AccountBounds,
+    pub grace_period: Duration,
+}
+
+impl Default for HostOptions {
+    fn default() -> Self {
+        Self {
+            accounts: AccountBounds::default(),
+            grace_period: Duration::from_secs(6),
+        }
+    }
+}
+
 /// A node and its target.
 pub struct Host {
     pub client: SocketAddr,
@@ -36,7 +51,7 @@
     pub metrics: SocketAddr,
     pub service: &'static str,
     pub target: Target,
-    stop: Option<oneshot::Sender<()>>,
+    node: Node,
 }
 
 /// Answer received by a client; `None` if the connection ended without one.
@@ -67,7 +82,21 @@
     /// configuration is given.
     pub async fn with_accounts(
         services: &[&'static str],
-        bounds: AccountBounds,
+        accounts: AccountBounds,
+        configuration: &str,
+    ) -> Self {
+        let options = HostOptions {
+            accounts,
+            ..HostOptions::default()
+        };
+        Self::with_options(services, options, configuration).await
+    }
+
+    /// Starts hosts with `options`; waits until they serve, if the text of a configuration is
+    /// given.
+    pub async fn with_options(
+        services: &[&'static str],
+        options: HostOptions,
         configuration: &str,
     ) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -75,7 +104,7 @@
         let (mut hosts, mut gates) = (Vec::new(), Vec::new());
         for service in services {
             let gate = Gate::start(store.addr()).await.expect("a free port");
-            hosts.push(start_host(service, gate.addr, bounds).await);
+            hosts.push(start_host(service, gate.addr, options).await);
             gates.push(gate);
         }
         let fleet = Self {
@@ -140,8 +169,15 @@
 
     /// Starts a graceful stop of host `i`.
     pub fn stop(&mut self, i: usize) {
-        if let Some(stop) = self.hosts[i].stop.take() {
-            let _ = stop.send(());
+        self.hosts[i].node.stop();
+    }
+
+    /// Stops host `i` gracefully after `delay`.
+    pub fn stop_after(&mut self, i: usize, delay: Duration) -> impl Future<Output = ()> + use<> {
+        let stop = self.hosts[i].node.stopper();
+        async move {
+            tokio::time::sleep(delay).await;
+            drop(stop);
         }
     }
 
@@ -200,13 +236,24 @@
         path: &str,
         id: &str,
         headers: &[(&str, &str)],
+    ) -> Answer {
+        self.request_within(i, path, (id, "2500"), headers).await
+    }
+
+    /// Sends a client request with a deadline in milliseconds to the node of host `i`.
+    pub async fn request_within(
+        &self,
+        i: usize,
+        path: &str,
+        (id, deadline_ms): (&str, &str),
+        headers: &[(&str, &str)],
     ) -> Answer {
         let mut req = Request::builder()
             .method(Method::POST)
             .uri(format!("http://{}{path}", self.hosts[i].client))
             .header("host", "mesh.example")
             .header("t-id", id)
-            .header("t-deadline", "2500")
+            .header("t-deadline", deadline_ms)
             .header("t-caller", "forged")
             .header("rb-hop", "forged");
         for (name, value) in headers {
@@ -236,7 +283,7 @@
     }
 }
 
-async fn start_host(service: &'static str, store: SocketAddr, accounts: AccountBounds) -> Host {
+async fn start_host(service: &'static str, store: SocketAddr, options: HostOptions) -> Host {
     let target = Target::start().await.expect("a free port");
     let free = free_addresses(5).expect("free ports");
     let listen = ListenSettings {
@@ -258,25 +305,16 @@
             addr: store,
             ..StoreSettings::default()
         },
-        grace_period: Duration::from_secs(6),
+        grace_period: options.grace_period,
         retry_bound: RetryBound {
             ratio: 0.2,
             slack: 48.0,
             window: Duration::from_secs(10),
         },
-        accounts,
+        accounts: options.accounts,
         places_by_speed: true,
         source: "none".into(),
     };
-    let reloaded = settings.clone();
-    let source = Box::new(move || Ok(reloaded.clone()));
-    let protocol = Arc::new(TestProtocol::default());
-    let mesh = Mesh::start(settings, protocol, source).expect("a node");
-    let (stop, stopped) = oneshot::channel();
-    tokio::spawn(mesh.run_until(async move {
-        // Dropping the fleet stops its nodes as well.
-        let _ = stopped.await;
-    }));
     Host {
         client: listen.client,
         peer: listen.peer,
@@ -285,6 +323,6 @@
         metrics: listen.metrics,
         service,
         target,
-        stop: Some(stop),
+        node: Node::start(settings).await,
     }
 }
--- a/crates/rhubarblanding_mesh/tests/mesh/main.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/main.rs
@@ -10,9 +10,11 @@
 mod gate;
 mod large;
 mod logs;
+mod node;
 mod notices;
 mod protocol;
 mod quotas;
+mod stops;
 mod store;
 mod target;
 
