Acknowledge a departure only when it outlasts the process

Cause: the acknowledgement said more than was kept. After 0.85 s without the service the node acknowledged what only its memory held. The same for each further report of a draining target, for a slow service (lease and write had 0.4 s together and began anew each time), for one that refuses this node alone, and after a return of the service from an older copy. A late report of draining was acknowledged and ignored.

Change: a departure is acknowledged when the service has stored it or three other nodes hold it, else answered 503; other nodes hold each departure. A process that starts reads the service and asks the nodes that come first in the order in which they were asked to hold; it takes one report as proof of life only when one of the holders must have answered. Attempts to store keep their lease and get more time.

--- a/crates/rhubarblanding_mesh/src/process/control.rs
+++ b/crates/rhubarblanding_mesh/src/process/control.rs
@@ -2,25 +2,20 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Request, Response, StatusCode};
 use tokio::sync::watch;
 
+use super::departures;
 use super::instance::ReportVerdict;
-use super::registration;
 use super::shared::Shared;
 use crate::connection::{Payload, RequestBody};
-use crate::protocol::{ControlCall, ControlReply, Instance, InstanceLeave, InstanceReport};
+use crate::protocol::{ControlCall, ControlReply, InstanceLeave, InstanceReport, ReportedState};
 use crate::request::read_logged;
 
 /// Maximum body size of a call of the target, in bytes.
 const CALL_MAX_BYTES: usize = 64 * 1024;
-/// Time for recording a departure before it is acknowledged. The target waits a second for the
-/// acknowledgement.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(850);
-
 /// Answers a call of the local target.
 pub async fn handle_control(
     node: Arc<Shared>,
@@ -47,14 +42,21 @@
             );
         }
     };
-    match call {
+    let is_acknowledged = match call {
         ControlCall::Report(report) => on_report(&node, &report).await,
         ControlCall::Leave(leave) => on_leave(&node, &leave).await,
-    }
-    reply(node.protocol.acknowledge())
+    };
+    reply(match is_acknowledged {
+        true => node.protocol.acknowledge(),
+        false => node
+            .protocol
+            .reject(StatusCode::SERVICE_UNAVAILABLE, "departure not kept yet"),
+    })
 }
 
-async fn on_report(node: &Arc<Shared>, report: &InstanceReport) {
+/// Applies a report; returns `true` if it may be acknowledged. A report of an instance that leaves
+/// may be once its departure outlasts this process.
+async fn on_report(node: &Arc<Shared>, report: &InstanceReport) -> bool {
     let verdict = node.local.report(node, report);
     if verdict != ReportVerdict::Unchanged {
         log::info!(
@@ -66,29 +68,17 @@
         );
     }
     node.announce();
-    if verdict == ReportVerdict::BeganDraining {
-        record_departure(node, &report.instance).await;
-    }
+    let is_leaving =
+        report.state == ReportedState::Draining && verdict != ReportVerdict::OtherService;
+    !is_leaving || departures::keep(node, &report.instance).await
 }
 
-async fn on_leave(node: &Arc<Shared>, leave: &InstanceLeave) {
+/// Applies a leave message; returns `true` if it may be acknowledged.
+async fn on_leave(node: &Arc<Shared>, leave: &InstanceLeave) -> bool {
     let departed = node.local.leave(node, leave);
     log::info!(instance:% = departed.id, born = departed.started_at.0, told = leave.started_at.is_some(); "target_left");
     node.announce();
-    record_departure(node, &departed).await;
-}
-
-/// Records a departure in the key-value service, so that it outlasts this process. If that takes
-/// too long, it is retried in the background and the target is acknowledged.
-async fn record_departure(node: &Arc<Shared>, departed: &Instance) {
-    let recording = registration::record_until_stored(Arc::clone(node), departed.clone());
-    let mut recording = tokio::spawn(recording);
-    if tokio::time::timeout(RECORD_TIMEOUT, &mut recording)
-        .await
-        .is_err()
-    {
-        log::warn!(instance:% = departed.id, born = departed.started_at.0; "departure_not_recorded_yet");
-    }
+    departures::keep(node, &departed).await
 }
 
 fn reply(reply: ControlReply) -> Response<Payload> {
--- /dev/null
+++ b/crates/rhubarblanding_mesh/src/process/departures.rs
@@ -0,0 +1,308 @@
+//! Departures of instances of the local target: where they are kept, and how a process that is
+//! started again learns of them.
+//!
+//! A departure is acknowledged to the target once it outlasts this process: when the key-value
+//! service has stored it or, while the service is away, slow or refuses this node, when several
+//! other nodes hold it. They hold each departure, as the service may come back from an older copy.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rhubarblanding_core::collections::stable_hash;
+use rhubarblanding_core::prelude::*;
+use rhubarblanding_node::process::parking::{Mutex, lock};
+use rhubarblanding_store::backoff::{Backoff, BackoffSettings};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use super::member::other_nodes;
+use super::registration::{self, DEPARTED_TTL};
+use super::shared::Shared;
+use super::{held::HeldDepartures, message};
+use crate::connection::PeerError;
+use crate::protocol::{Instance, InstanceId};
+use crate::request::DEPARTURES_PATH;
+
+/// Time within which a departure must be kept for an acknowledgement of this call. The target waits
+/// a second for it, and calls again.
+const KEEP_TIMEOUT: Duration = Duration::from_millis(850);
+/// Time for the key-value service alone to store a departure.
+const HAND_OVER_AFTER: Duration = Duration::from_millis(200);
+/// Number of attempts to hand a departure over that the key-value service has stored.
+const ATTEMPTS_IF_STORED: u32 = 5;
+/// Number of nodes that are asked to hold a departure.
+const HOLDERS_ASKED: usize = 8;
+/// Number of nodes that must hold a departure; all others in fleets that have fewer.
+const HOLDERS_MIN: usize = 3;
+/// Number of nodes that a process asks at its start: more than [`HOLDERS_ASKED`], as nodes join and
+/// leave meanwhile.
+const ASKED_AT_START: usize = 16;
+/// Time for an answer of one of them.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Delays between attempts to hand a departure over.
+const HAND_OVER_BACKOFF: BackoffSettings = BackoffSettings {
+    first: Duration::from_millis(100),
+    max: Duration::from_millis(1_000),
+};
+/// Delays between attempts to learn of the departures before the start.
+const LEARN_BACKOFF: BackoffSettings = BackoffSettings {
+    first: Duration::from_millis(200),
+    max: Duration::from_millis(1_600),
+};
+/// Maximum size of an answer about departures, in bytes.
+const ANSWER_MAX_BYTES: usize = 64 * 1024;
+
+/// Instance as nodes send it to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartureRecord {
+    id: Box<str>,
+    started_at_ms: u64,
+}
+
+impl From<&Instance> for DepartureRecord {
+    fn from(instance: &Instance) -> Self {
+        Self {
+            id: (*instance.id.0).into(),
+            started_at_ms: instance.started_at.0,
+        }
+    }
+}
+
+impl From<DepartureRecord> for Instance {
+    fn from(record: DepartureRecord) -> Self {
+        Self {
+            started_at: UnixMillis(record.started_at_ms),
+            id: InstanceId(record.id.into()),
+        }
+    }
+}
+
+/// Message between nodes about departures.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DepartureMessage {
+    /// Asks to hold a departure from the host.
+    Hold {
+        /// Host of the instance that left.
+        host: HostId,
+        /// The instance.
+        departed: DepartureRecord,
+    },
+    /// Asks for the departures from the host that are held.
+    List {
+        /// Host of the instances.
+        host: HostId,
+    },
+}
+
+/// Departures that a node keeps: those of its own target and those that it holds for others.
+#[derive(Debug, Default)]
+pub struct Departures {
+    /// `true` for what outlasts this process.
+    own: Mutex<HashMap<Instance, watch::Sender<bool>>>,
+    held: Mutex<HeldDepartures>,
+}
+
+impl Departures {
+    /// Answers a message of another node; `None` if the departure cannot be held.
+    pub fn receive(&self, node: &Shared, msg: DepartureMessage) -> Option<Vec<DepartureRecord>> {
+        let now = node.clock.now();
+        let held = &mut *lock(&self.held);
+        match msg {
+            // The memory of a stopping node ends soon.
+            DepartureMessage::Hold { .. } if node.is_stopping() => None,
+            DepartureMessage::Hold { host, departed } => {
+                held.hold(now, DEPARTED_TTL, host, departed).then(Vec::new)
+            }
+            DepartureMessage::List { host } => Some(held.list(now, host)),
+        }
+    }
+}
+
+/// Keeps a departure; returns `true` once it outlasts this process, `false` if that takes too long.
+/// The attempts go on.
+pub(super) async fn keep(node: &Arc<Shared>, instance: &Instance) -> bool {
+    let mut kept = begin(node, instance);
+    let waiting = kept.wait_for(|kept| *kept);
+    let is_kept = matches!(tokio::time::timeout(KEEP_TIMEOUT, waiting).await, Ok(Ok(_)));
+    if !is_kept {
+        log::warn!(instance:% = instance.id, born = instance.started_at.0; "departure_not_kept_yet");
+    }
+    is_kept
+}
+
+/// Begins to keep a departure, if that has not begun. The receiver tells when it outlasts this
+/// process.
+pub(super) fn begin(node: &Arc<Shared>, instance: &Instance) -> watch::Receiver<bool> {
+    let mut own = lock(&node.departures.own);
+    if let Some(kept) = own.get(instance) {
+        return kept.subscribe();
+    }
+    let kept = watch::Sender::new(false);
+    own.insert(instance.clone(), kept.clone());
+    drop(own);
+    tokio::spawn(store(Arc::clone(node), instance.clone(), kept.clone()));
+    tokio::spawn(hand_over(Arc::clone(node), instance.clone(), kept.clone()));
+    kept.subscribe()
+}
+
+async fn store(node: Arc<Shared>, instance: Instance, kept: watch::Sender<bool>) {
+    registration::record_until_stored(node, instance).await;
+    kept.send_replace(true);
+}
+
+/// Has other nodes hold a departure.
+async fn hand_over(node: Arc<Shared>, instance: Instance, kept: watch::Sender<bool>) {
+    let mut rng = SmallRng::from_os_rng();
+    let mut backoff = Backoff::new(HAND_OVER_BACKOFF);
+    tokio::time::sleep(HAND_OVER_AFTER).await;
+    for attempt in 1.. {
+        let holders = in_order(node.host_id(), other_nodes(&node), HOLDERS_ASKED);
+        let needed = HOLDERS_MIN.min(holders.len());
+        let asked = holders.len();
+        let held = ask_to_hold(&node, holders, &instance, needed).await;
+        if needed > 0 && held >= needed {
+            log::info!(
+                instance:% = instance.id, born = instance.started_at.0, nodes = held, asked = asked;
+                "departure_held_by_nodes"
+            );
+            kept.send_replace(true);
+            return;
+        }
+        log::info!(instance:% = instance.id, nodes = held, asked = asked; "departure_not_held");
+        if *kept.borrow() && attempt >= ATTEMPTS_IF_STORED {
+            return;
+        }
+        tokio::time::sleep(backoff.next_delay(&mut rng)).await;
+    }
+}
+
+/// Returns the number of nodes that hold the departure, `needed` at most.
+async fn ask_to_hold(
+    node: &Arc<Shared>,
+    holders: Vec<HostId>,
+    instance: &Instance,
+    needed: usize,
+) -> usize {
+    let msg = DepartureMessage::Hold {
+        host: node.host_id(),
+        departed: instance.into(),
+    };
+    let mut asks = ask_all(node, holders, &msg);
+    let mut held = 0;
+    while held < needed
+        && let Some(answer) = asks.join_next().await
+    {
+        held += usize::from(matches!(answer, Ok(HolderAnswer::Records(_))));
+    }
+    held
+}
+
+/// Answer of a node that was asked about departures.
+#[derive(Debug)]
+enum HolderAnswer {
+    /// Departures that it holds.
+    Records(Vec<DepartureRecord>),
+    /// It holds none: it was restarted, or does not know the question.
+    Nothing,
+    /// It may hold some.
+    Unknown,
+}
+
+fn ask_all(
+    node: &Arc<Shared>,
+    hosts: Vec<HostId>,
+    msg: &DepartureMessage,
+) -> JoinSet<HolderAnswer> {
+    let ask = |host| {
+        let (node, msg) = (Arc::clone(node), msg.clone());
+        async move {
+            let asking = message::ask(&node, host, DEPARTURES_PATH, &msg, ANSWER_MAX_BYTES);
+            match tokio::time::timeout(ASK_TIMEOUT, asking).await {
+                Ok(Ok(body)) => serde_json::from_slice(&body)
+                    .map_or(HolderAnswer::Nothing, HolderAnswer::Records),
+                Ok(Err(PeerError::Refused)) => HolderAnswer::Nothing,
+                Ok(Err(PeerError::NotSent | PeerError::Lost)) | Err(_) => HolderAnswer::Unknown,
+            }
+        }
+    };
+    hosts.into_iter().map(ask).collect()
+}
+
+/// Returns the first of `hosts` in the order in which they hold departures from `own`: the same
+/// order whoever computes it, so that a restarted process asks those that were asked before.
+fn in_order(own: HostId, mut hosts: Vec<HostId>, count: usize) -> Vec<HostId> {
+    let seed = stable_hash(0, own.to_string().as_bytes());
+    hosts.retain(|host| *host != own);
+    hosts.sort_by_cached_key(|host| stable_hash(seed, host.to_string().as_bytes()));
+    hosts.dedup();
+    hosts.truncate(count);
+    hosts
+}
+
+/// Learns of the departures before the start, however long the key-value service is away.
+pub(super) async fn learn(node: Arc<Shared>) {
+    let mut rng = SmallRng::from_os_rng();
+    let mut backoff = Backoff::new(LEARN_BACKOFF);
+    loop {
+        let hosts = match read_stored(&node).await {
+            Ok(hosts) => Some(hosts),
+            Err(reason) => {
+                log::info!(reason = reason; "departures_not_read");
+                None
+            }
+        };
+        let is_stored_known = hosts.is_some();
+        let hosts = hosts.unwrap_or_else(|| other_nodes(&node));
+        let silent = learn_held(&node, hosts).await;
+        // Of those that hold a departure, one at least has answered.
+        if is_stored_known && silent.is_none() {
+            break;
+        }
+        tokio::time::sleep(backoff.next_delay(&mut rng)).await;
+    }
+    let verdict = node.local.finish_departed(&node);
+    let verdict = verdict.map_or_else(|| "none".to_owned(), |verdict| verdict.to_string());
+    let departed = node.local.departed().len();
+    log::info!(departed = departed, held_back = verdict; "departures_read");
+    node.announce();
+}
+
+/// Reads the departures in the key-value service; returns the hosts of all nodes.
+async fn read_stored(node: &Arc<Shared>) -> Result<Vec<HostId>, String> {
+    let reason = |report: error_stack::Report<_>| format!("{}", report.current_context());
+    let departed = registration::read_departed(node).await.map_err(reason)?;
+    node.local.mark_departed(node, departed);
+    registration::read_nodes(node).await.map_err(reason)
+}
+
+/// Asks `hosts` for the departures that they hold; returns the number of silent ones if these may
+/// be all that hold one.
+async fn learn_held(node: &Arc<Shared>, hosts: Vec<HostId>) -> Option<usize> {
+    let asked = in_order(node.host_id(), hosts, ASKED_AT_START);
+    let enough = HOLDERS_MIN.min(asked.len());
+    let msg = DepartureMessage::List {
+        host: node.host_id(),
+    };
+    let mut silent = 0;
+    let mut held: Vec<Instance> = Vec::new();
+    for answer in ask_all(node, asked, &msg).join_all().await {
+        match answer {
+            HolderAnswer::Records(records) => held.extend(records.into_iter().map(Instance::from)),
+            HolderAnswer::Nothing => {}
+            HolderAnswer::Unknown => silent += 1,
+        }
+    }
+    for instance in &held {
+        log::info!(instance:% = instance.id, born = instance.started_at.0; "departure_learned");
+        begin(node, instance);
+    }
+    node.local.mark_departed(node, held);
+    if silent > 0 {
+        log::info!(nodes = silent; "departures_not_answered");
+    }
+    (silent > 0 && silent >= enough).then_some(silent)
+}
--- a/crates/rhubarblanding_mesh/src/process/instance.rs
+++ b/crates/rhubarblanding_mesh/src/process/instance.rs
@@ -98,7 +98,9 @@
                 return ReportVerdict::Stale;
             }
             Some(current) if report.instance == current.instance => {
-                if report.sequence <= current.sequence {
+                // That an instance drains is never undone, so it may be learned late.
+                let tells_draining = is_draining && !current.draining;
+                if report.sequence <= current.sequence && !tells_draining {
                     return ReportVerdict::Stale;
                 }
                 match (current.draining, is_draining) {
@@ -114,9 +116,11 @@
             .as_ref()
             .is_some_and(|c| c.instance == report.instance);
         let was_draining = same_instance && self.is_draining();
+        let known = self.current.as_ref().filter(|_| same_instance);
+        let sequence = known.map_or(0, |current| current.sequence);
         self.current = Some(Current {
             instance: report.instance.clone(),
-            sequence: report.sequence,
+            sequence: report.sequence.max(sequence),
             slots: report.slots,
             draining: is_draining || was_draining,
         });
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -11,13 +11,13 @@
 use rhubarblanding_node::process::parking::{Mutex, lock};
 use tokio::sync::{Notify, oneshot};
 
+use super::departures;
 use super::events::NoticeSource;
 use super::instance::{Confirmation, InstanceTracker, ReportVerdict};
 use super::lineage::{Lineage, RunningRequests};
 use super::metrics::Backlog;
 use super::notice::{NoticeChange, NoticeTracker, SharedNotice};
 use super::permit::{RunningGuard, Slot, SlotPermit, WaitGuard};
-use super::registration;
 use super::shared::Shared;
 use crate::protocol::{
     Instance, InstanceId, InstanceLeave, InstanceReport, RateNotice, TargetNotice,
@@ -235,9 +235,8 @@
         }
     }
 
-    /// Marks the instances that left before this process started as departed. Reports need no
-    /// confirmation from now on; the verdict is that of a report that waited for one.
-    pub fn set_departed(&self, node: &Shared, departed: Vec<Instance>) -> Option<ReportVerdict> {
+    /// Marks instances that left, perhaps before this process started, as departed.
+    pub fn mark_departed(&self, node: &Shared, departed: Vec<Instance>) {
         let now = node.clock.now();
         let mut state = lock(&self.state);
         for instance in departed {
@@ -246,6 +245,14 @@
         if state.tracker.serving().is_none() {
             state.refuse_waiting(now);
         }
+        state.dispatch(now);
+    }
+
+    /// Records that all departures before the start are marked. Reports need no confirmation from
+    /// now on; the verdict is that of a report that waited for one.
+    pub fn finish_departed(&self, node: &Shared) -> Option<ReportVerdict> {
+        let now = node.clock.now();
+        let mut state = lock(&self.state);
         let held_back = state.confirmation.finish();
         let verdict = held_back.map(|report| state.report(now, node, &report));
         state.dispatch(now);
@@ -353,10 +360,7 @@
         drop(state);
         if let Some(instance) = leaving {
             node.announce();
-            tokio::spawn(registration::record_until_stored(
-                Arc::clone(node),
-                instance,
-            ));
+            departures::begin(node, &instance);
         }
     }
 
--- a/crates/rhubarblanding_mesh/src/process/mesh.rs
+++ b/crates/rhubarblanding_mesh/src/process/mesh.rs
@@ -5,16 +5,15 @@
 use std::time::{Duration, SystemTime};
 
 use error_stack::{Report, ResultExt};
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use rhubarblanding_membership::prelude::Input;
 use rhubarblanding_node::process::{Lifecycle, Starting};
-use rhubarblanding_store::backoff::{Backoff, BackoffSettings};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 use super::shared::Shared;
-use super::{configuration, control, freshness, member, quota, registration, stop, suspects};
+use super::{
+    configuration, control, departures, freshness, member, quota, registration, stop, suspects,
+};
 use crate::connection::{AheadCounters, ClientHandler, ClientServer, PeerServer, bind};
 use crate::protocol::Protocol;
 use crate::request::{handle_client, handle_peer};
@@ -23,11 +22,6 @@
 /// Time after the start for which a node that has not read the addresses of the other nodes reports
 /// that it is not ready for clients: without them it could only refuse requests.
 const LISTING_WAIT_MAX: Duration = Duration::from_millis(1_500);
-/// Delays between attempts to read the departed instances.
-const DEPARTED_BACKOFF: BackoffSettings = BackoffSettings {
-    first: Duration::from_millis(200),
-    max: Duration::from_millis(1_600),
-};
 /// Time between two checks of the settings file, which may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which idle connections to the target are closed.
@@ -97,7 +91,7 @@
         tokio::spawn(configuration::follow(Arc::clone(&node)));
         tokio::spawn(end_listing_wait(listed_tx.clone()));
         tokio::spawn(registration::maintain(Arc::clone(&node), listed_tx));
-        tokio::spawn(read_departed(Arc::clone(&node)));
+        tokio::spawn(departures::learn(Arc::clone(&node)));
         tokio::spawn(registration::rerecord_departures(Arc::clone(&node)));
         let shared = Arc::clone(&node);
         tokio::spawn(async move { shared.local.run_timers(&shared).await });
@@ -168,26 +162,6 @@
     listed_tx.send_replace(true);
 }
 
-/// Reads the departed instances of the local target, however long the key-value service is away.
-async fn read_departed(node: Arc<Shared>) {
-    let mut rng = SmallRng::from_os_rng();
-    let mut backoff = Backoff::new(DEPARTED_BACKOFF);
-    let departed = loop {
-        match registration::read_departed(&node).await {
-            Ok(departed) => break departed,
-            Err(report) => {
-                log::info!(reason:% = report.current_context(); "departures_not_read");
-                tokio::time::sleep(backoff.next_delay(&mut rng)).await;
-            }
-        }
-    };
-    let count = departed.len();
-    let verdict = node.local.set_departed(&node, departed);
-    let verdict = verdict.map_or_else(|| "none".to_owned(), |verdict| verdict.to_string());
-    log::info!(departed = count, held_back = verdict; "departures_read");
-    node.announce();
-}
-
 async fn close_idle(node: Arc<Shared>) {
     loop {
         tokio::time::sleep(IDLE_INTERVAL).await;
--- a/crates/rhubarblanding_mesh/src/process/message.rs
+++ b/crates/rhubarblanding_mesh/src/process/message.rs
@@ -1,24 +1,56 @@
-//! Messages to other nodes that need no answer.
+//! Messages to other nodes.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, Request, Uri};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Collected, Full, Limited};
 use rhubarblanding_core::prelude::*;
 use serde::Serialize;
 
 use super::shared::Shared;
+use crate::connection::PeerError;
 
 /// Time after which a message counts as lost.
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Sends a message to the node on `to`. It may be lost: later ones make up for it.
 pub(super) fn send(node: &Arc<Shared>, to: HostId, path: &str, msg: &impl Serialize) {
+    let Some(req) = build(to, path, msg) else {
+        return;
+    };
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        let _ = tokio::time::timeout(SEND_TIMEOUT, node.peers.send(to.0, req)).await;
+    });
+}
+
+/// Sends a message to the node on `to` and returns its answer, of at most `max_bytes`.
+///
+/// # Errors
+///
+/// See [`PeerError`]; an answer that is too long counts as lost.
+pub(super) async fn ask(
+    node: &Shared,
+    to: HostId,
+    path: &str,
+    msg: &impl Serialize,
+    max_bytes: usize,
+) -> Result<Bytes, PeerError> {
+    let req = build(to, path, msg).ok_or(PeerError::NotSent)?;
+    let resp = node.peers.send(to.0, req).await?;
+    let body = Limited::new(resp.into_body(), max_bytes).collect().await;
+    body.map(Collected::to_bytes).map_err(|_| PeerError::Lost)
+}
+
+fn build(to: HostId, path: &str, msg: &impl Serialize) -> Option<Request<Full<Bytes>>> {
     let body = match serde_json::to_vec(msg) {
         Ok(body) => Bytes::from(body),
-        Err(e) => return log::warn!(path = path, reason:% = e; "message_not_encoded"),
+        Err(e) => {
+            log::warn!(path = path, reason:% = e; "message_not_encoded");
+            return None;
+        }
     };
     let uri = Uri::builder()
         .scheme("http")
@@ -26,13 +58,11 @@
         .path_and_query(path)
         .build();
     let Ok(uri) = uri else {
-        return log::warn!(path = path, host:% = to; "message_address_invalid");
+        log::warn!(path = path, host:% = to; "message_address_invalid");
+        return None;
     };
     let mut req = Request::new(Full::new(body));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = uri;
-    let node = Arc::clone(node);
-    tokio::spawn(async move {
-        let _ = tokio::time::timeout(SEND_TIMEOUT, node.peers.send(to.0, req)).await;
-    });
+    Some(req)
 }
--- a/crates/rhubarblanding_mesh/src/process/mod.rs
+++ b/crates/rhubarblanding_mesh/src/process/mod.rs
@@ -3,8 +3,10 @@
 mod configuration;
 mod control;
 mod crash;
+mod departures;
 mod events;
 mod freshness;
+mod held;
 mod instance;
 mod lineage;
 mod local;
@@ -23,9 +25,11 @@
 mod targets;
 
 pub use crash::CrashWatch;
+pub use departures::{DepartureMessage, DepartureRecord, Departures};
 pub use events::{RefusalStage, RetryReason};
 pub use freshness::FreshnessState;
 pub(crate) use freshness::{FRESHNESS_HEADER, ask_along, learn, word};
+pub use held::HeldDepartures;
 pub use instance::{Confirmation, InstanceTracker, ReportVerdict};
 pub use lineage::{Lineage, RunningRequests};
 pub use local::LocalTarget;
--- a/crates/rhubarblanding_mesh/src/process/quota.rs
+++ b/crates/rhubarblanding_mesh/src/process/quota.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http::HeaderValue;
 use rhubarblanding_accounts::quota::{
     AskId, AskMessage, Decision, Mechanisms, Output, Quota, QuotaNode, Refused, Reply, Ticket,
     Unanswered,
@@ -14,6 +12,7 @@
 use rhubarblanding_node::process::parking::{Mutex, lock};
 use tokio::sync::{Notify, mpsc, oneshot};
 
+use super::message;
 use super::shared::Shared;
 use crate::connection::PeerError;
 use crate::request::QUOTA_PATH;
@@ -315,24 +314,11 @@
 }
 
 async fn post(node: &Shared, ask: &QuotaAsk) -> Result<Reply, Unanswered> {
-    let silent = |_| Unanswered::Silent;
-    let body = serde_json::to_vec(&ask.msg).map_err(|_| Unanswered::Silent)?;
-    let uri = Uri::builder()
-        .scheme("http")
-        .authority(ask.to.to_string())
-        .path_and_query(QUOTA_PATH)
-        .build()
-        .map_err(|_| Unanswered::Silent)?;
-    let mut req = Request::new(Full::new(Bytes::from(body)));
-    *req.method_mut() = Method::POST;
-    *req.uri_mut() = uri;
-    let sent = node.peers.send(ask.to.0, req).await;
-    let resp = sent.map_err(|e| match e {
+    let asked = message::ask(node, ask.to, QUOTA_PATH, &ask.msg, REPLY_MAX_BYTES).await;
+    let body = asked.map_err(|e| match e {
         PeerError::Refused => Unanswered::Refused,
         PeerError::NotSent | PeerError::Lost => Unanswered::Silent,
     })?;
-    let body = Limited::new(resp.into_body(), REPLY_MAX_BYTES).collect();
-    let body = body.await.map_err(silent)?.to_bytes();
     serde_json::from_slice(&body).map_err(|e| {
         log::warn!(host:% = ask.to, reason:% = e; "quota_answer_invalid");
         Unanswered::Silent
--- a/crates/rhubarblanding_mesh/src/process/registration.rs
+++ b/crates/rhubarblanding_mesh/src/process/registration.rs
@@ -11,7 +11,7 @@
 use rhubarblanding_store::backoff::{Backoff, BackoffSettings};
 use rhubarblanding_store::client::StoreResult;
 use rhubarblanding_store::codec::Freshness;
-use rhubarblanding_store::{CasOutcome, Key, LeaseId, Revision, StoreError};
+use rhubarblanding_store::{CasOutcome, Key, LeaseId, ListEntry, Revision, StoreError};
 use tokio::sync::watch;
 
 use super::shared::Shared;
@@ -35,8 +35,14 @@
 /// Time from one failed call to the next attempt. Entries that expired during an outage of the
 /// service must be restored within two seconds.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1_700);
-/// Time for one attempt to record a departure: enough for an answer of a slow service.
-const RECORD_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for the first attempt to record a departure, which may be lost by chance. Each later one has
+/// twice the time of the one before, for a service that is slow.
+const RECORD_TIMEOUT_FIRST: Duration = Duration::from_millis(400);
+/// Longest time for an attempt.
+const RECORD_TIMEOUT_MAX: Duration = Duration::from_millis(3_200);
+/// Time for which the lease of a failed attempt is used again. Departures then stay recorded for
+/// nearly their whole time.
+const LEASE_REUSE_TIME: Duration = Duration::from_secs(10);
 /// Delays between attempts: short enough for several before the acknowledgement, and long enough
 /// for few calls in an outage of seconds.
 const RECORD_BACKOFF: BackoffSettings = BackoffSettings {
@@ -44,7 +50,7 @@
     max: Duration::from_millis(600),
 };
 /// Time for which a departure stays recorded. Late reports arrive within seconds.
-const DEPARTED_TTL: Duration = Duration::from_secs(120);
+pub(super) const DEPARTED_TTL: Duration = Duration::from_secs(120);
 
 /// Maintains this node's address in the key-value service; runs until the process ends.
 ///
@@ -117,11 +123,7 @@
     let prefix = Key::from_static(NODES_PREFIX);
     match node.store.list_with_freshness(&prefix, freshness).await {
         Ok(entries) => {
-            let hosts = entries.iter().filter_map(|entry| {
-                let addr = entry.key.strip_prefix(NODES_PREFIX)?.parse().ok()?;
-                Some(HostId(addr))
-            });
-            let hosts: Vec<HostId> = hosts.collect();
+            let hosts = hosts_of(&entries);
             log::info!(nodes = hosts.len(); "nodes_listed");
             node.member_input(Input::Seeds(hosts));
             if !*listed.borrow() {
@@ -137,6 +139,24 @@
     }
 }
 
+fn hosts_of(entries: &[ListEntry]) -> Vec<HostId> {
+    let hosts = entries.iter().filter_map(|entry| {
+        let addr = entry.key.strip_prefix(NODES_PREFIX)?.parse().ok()?;
+        Some(HostId(addr))
+    });
+    hosts.collect()
+}
+
+/// Reads the hosts of all nodes.
+///
+/// # Errors
+///
+/// Fails as the key-value service does.
+pub async fn read_nodes(node: &Shared) -> StoreResult<Vec<HostId>> {
+    let entries = node.store.list(&Key::from_static(NODES_PREFIX)).await?;
+    Ok(hosts_of(&entries))
+}
+
 /// Reads the instances of the local target that left before this process started.
 ///
 /// # Errors
@@ -160,13 +180,17 @@
     let _pending = node.pending_record();
     let mut rng = SmallRng::from_os_rng();
     let mut backoff = Backoff::new(RECORD_BACKOFF);
+    let mut limit = RECORD_TIMEOUT_FIRST;
+    let mut lease = None;
     loop {
-        let attempt =
-            tokio::time::timeout(RECORD_ATTEMPT_TIMEOUT, record_departed(&node, &instance));
-        let reason = match attempt.await {
+        let attempt = record_departed(&node, &instance, &mut lease);
+        let reason = match tokio::time::timeout(limit, attempt).await {
             Ok(Ok(())) => break,
             Ok(Err(report)) => report.current_context().to_string(),
-            Err(_) => "no answer in time".to_owned(),
+            Err(_) => {
+                limit = (limit * 2).min(RECORD_TIMEOUT_MAX);
+                "no answer in time".to_owned()
+            }
         };
         log::info!(instance:% = instance.id, reason = reason; "departure_not_recorded");
         tokio::time::sleep(backoff.next_delay(&mut rng)).await;
@@ -186,19 +210,42 @@
     }
 }
 
-async fn record_departed(node: &Shared, instance: &Instance) -> StoreResult<()> {
+/// Lease of a departure, and when it was granted.
+type DepartureLease = (LeaseId, MonoTime);
+
+/// Makes one attempt to record a departure. `held` is the lease of an earlier attempt.
+async fn record_departed(
+    node: &Shared,
+    instance: &Instance,
+    held: &mut Option<DepartureLease>,
+) -> StoreResult<()> {
     let hex: String = instance.id.0.bytes().map(|b| format!("{b:02x}")).collect();
     let text = format!("{}{}/{hex}", departed_prefix(node), instance.started_at.0);
     let Ok(key) = Key::try_from(text.as_str()) else {
         log::warn!(instance:% = instance.id; "departed_instance_has_no_key");
         return Ok(());
     };
-    let lease = node.store.grant_lease(DEPARTED_TTL).await?.id;
+    let now = node.clock.now();
+    let usable = held.filter(|(_, granted_at)| now.since(*granted_at) < LEASE_REUSE_TIME);
+    let lease = match usable {
+        Some((lease, _)) => lease,
+        None => node.store.grant_lease(DEPARTED_TTL).await?.id,
+    };
+    *held = Some((lease, usable.map_or(now, |(_, granted_at)| granted_at)));
     let put = node
         .store
         .compare_and_swap_leased(&key, Revision::ABSENT, Bytes::new(), lease);
     // A conflict means that the departure is already recorded.
-    put.await.map(|_| ())
+    let result = put.await.map(|_| ());
+    if result.as_ref().is_err_and(|report| {
+        matches!(
+            report.current_context(),
+            StoreError::LeaseLapsed | StoreError::EraChanged
+        )
+    }) {
+        *held = None;
+    }
+    result
 }
 
 fn node_key(host: HostId) -> Key {
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::crash::CrashWatch;
+use super::departures::Departures;
 use super::freshness::FreshnessState;
 use super::local::LocalTarget;
 use super::metrics::Metrics;
@@ -74,6 +75,8 @@
     pub local: LocalTarget,
     /// Connections to the local target.
     pub backend: BackendPool,
+    /// Departures of instances of this target and others.
+    pub departures: Departures,
     /// Crashes of the local target.
     pub crashes: CrashWatch,
     /// Requests that crash targets.
@@ -142,6 +145,7 @@
             targets: Targets::new(clock, zone, router_settings(settings.places_by_speed), seed),
             local: LocalTarget::new(SlotSettings::default()),
             backend: BackendPool::new(clock),
+            departures: Departures::default(),
             crashes: CrashWatch::default(),
             suspects: Suspects::default(),
             freshness: FreshnessState::default(),
--- a/crates/rhubarblanding_mesh/src/request/hop.rs
+++ b/crates/rhubarblanding_mesh/src/request/hop.rs
@@ -30,6 +30,8 @@
 pub(crate) const FRESHNESS_PATH: &str = "/freshness";
 /// Path of asks for allotments of quotas.
 pub(crate) const QUOTA_PATH: &str = "/quota";
+/// Path of messages about departures.
+pub(crate) const DEPARTURES_PATH: &str = "/departures";
 /// Path of messages of stopping nodes.
 pub(crate) const STOP_PATH: &str = "/stopping";
 /// Path of membership messages.
--- a/crates/rhubarblanding_mesh/src/request/mod.rs
+++ b/crates/rhubarblanding_mesh/src/request/mod.rs
@@ -14,7 +14,9 @@
 
 pub use answer::{refusal, refusal_with_message};
 pub use entry::handle_client;
-pub(crate) use hop::{FRESHNESS_PATH, GOSSIP_PATH, QUOTA_PATH, STOP_PATH, SUSPECTS_PATH};
+pub(crate) use hop::{
+    DEPARTURES_PATH, FRESHNESS_PATH, GOSSIP_PATH, QUOTA_PATH, STOP_PATH, SUSPECTS_PATH,
+};
 pub use hop::{HopHeader, HopOutcome, HopReply, HopRequest, HopResult, HopStatus, InvalidHop};
 pub use peer::handle_peer;
 pub use serve::serve_local;
--- a/crates/rhubarblanding_mesh/src/request/peer.rs
+++ b/crates/rhubarblanding_mesh/src/request/peer.rs
@@ -11,14 +11,14 @@
 use rhubarblanding_request::suspect::SuspectRecord;
 
 use super::hop::{
-    ANSWER_HEADER, FRESHNESS_PATH, GOSSIP_PATH, HopHeader, HopOutcome, HopReply, HopRequest,
-    HopResult, HopStatus, QUOTA_PATH, REQUEST_HEADER, STOP_PATH, SUSPECTS_PATH, set_crash,
-    set_notice, take_notice,
+    ANSWER_HEADER, DEPARTURES_PATH, FRESHNESS_PATH, GOSSIP_PATH, HopHeader, HopOutcome, HopReply,
+    HopRequest, HopResult, HopStatus, QUOTA_PATH, REQUEST_HEADER, STOP_PATH, SUSPECTS_PATH,
+    set_crash, set_notice, take_notice,
 };
 use super::serve::serve_local;
 use super::small_body::read_logged;
 use crate::connection::Payload;
-use crate::process::{FRESHNESS_HEADER, Shared, StopMessage, word};
+use crate::process::{DepartureMessage, FRESHNESS_HEADER, Shared, StopMessage, word};
 
 /// Maximum size of a membership message, in bytes.
 const GOSSIP_MAX_BYTES: usize = 4 << 20;
@@ -26,6 +26,8 @@
 const SUSPECTS_MAX_BYTES: usize = 1 << 20;
 /// Maximum size of an ask for allotments, in bytes.
 const QUOTA_MAX_BYTES: usize = 1 << 20;
+/// Maximum size of a message about departures, in bytes.
+const DEPARTURES_MAX_BYTES: usize = 64 * 1024;
 /// Maximum size of a message of a stopping node, in bytes.
 const STOP_MAX_BYTES: usize = 1 << 20;
 /// Maximum size of a request between nodes, in bytes.
@@ -43,6 +45,7 @@
             GOSSIP_PATH => return receive_gossip(&node, body).await,
             SUSPECTS_PATH => return receive_suspects(&node, body).await,
             QUOTA_PATH => return receive_quota_ask(&node, body).await,
+            DEPARTURES_PATH => return receive_departures(&node, body).await,
             STOP_PATH => return receive_stop(&node, body).await,
             FRESHNESS_PATH => return with_word(&node, no_content()),
             _ => {}
@@ -124,6 +127,28 @@
     no_content()
 }
 
+/// Answers another node's message about departures.
+async fn receive_departures(node: &Shared, body: Incoming) -> Response<Payload> {
+    let invalid = || super::refusal(Refusal::new(ErrorKind::InvalidRequest));
+    let Some(body) = read_logged(body, DEPARTURES_MAX_BYTES, "departures_cut").await else {
+        return invalid();
+    };
+    let msg = match serde_json::from_slice::<DepartureMessage>(&body) {
+        Ok(msg) => msg,
+        Err(e) => {
+            log::warn!(reason:% = e; "departures_invalid");
+            return invalid();
+        }
+    };
+    let Some(records) = node.departures.receive(node, msg) else {
+        return super::refusal(Refusal::new(ErrorKind::NodeDraining));
+    };
+    match serde_json::to_vec(&records) {
+        Ok(text) => Response::new(Payload::buffered(text.into())),
+        Err(_) => no_content(),
+    }
+}
+
 /// Handles the message of a stopping node whose requests wait here.
 async fn receive_stop(node: &Shared, body: Incoming) -> Response<Payload> {
     let Some(body) = read_logged(body, STOP_MAX_BYTES, "stop_message_cut").await else {
--- a/crates/rhubarblanding_mesh/tests/instance.rs
+++ b/crates/rhubarblanding_mesh/tests/instance.rs
@@ -83,6 +83,10 @@
         ],
         ReportVerdict::Unchanged, None
     );
+    late_report_of_draining: (
+        &[ready("a", 5, 3), report("a", 5, 2, ReportedState::Draining)],
+        ReportVerdict::BeganDraining, None
+    );
     late_ready_after_draining: (
         &[report("a", 5, 3, ReportedState::Draining), ready("a", 5, 2)], ReportVerdict::Stale, None
     );
--- a/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
@@ -52,6 +52,7 @@
     pub service: &'static str,
     pub target: Target,
     node: Node,
+    settings: MeshSettings,
 }
 
 /// Answer received by a client; `None` if the connection ended without one.
@@ -181,6 +182,17 @@
         }
     }
 
+    /// Ends the node of host `i` at once.
+    pub async fn kill(&mut self, i: usize) {
+        self.hosts[i].node.kill().await;
+    }
+
+    /// Starts the node of host `i` anew, after its end.
+    pub async fn start_again(&mut self, i: usize) {
+        let settings = self.hosts[i].settings.clone();
+        self.hosts[i].node = Node::start(settings).await;
+    }
+
     async fn wait_until_ready(&self) {
         let began = Instant::now();
         for host in &self.hosts {
@@ -323,6 +335,7 @@
         metrics: listen.metrics,
         service,
         target,
-        node: Node::start(settings).await,
+        node: Node::start(settings.clone()).await,
+        settings,
     }
 }
--- a/crates/rhubarblanding_mesh/tests/mesh/gate.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/gate.rs
@@ -35,6 +35,11 @@
         Ok(Self { addr, closed })
     }
 
+    /// Lets connections through again.
+    pub fn open(&self) {
+        self.closed.send_replace(false);
+    }
+
     /// Cuts all connections, also those that are opened from now on.
     pub fn close(&self) {
         self.closed.send_replace(true);
--- a/crates/rhubarblanding_mesh/tests/mesh/main.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/main.rs
@@ -5,6 +5,7 @@
 mod accounts;
 mod ahead;
 mod crashes;
+mod departures;
 mod endless;
 mod fleet;
 mod gate;
--- a/crates/rhubarblanding_mesh/tests/mesh/node.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/node.rs
@@ -10,13 +10,17 @@
 /// A running node. Dropping it stops it gracefully.
 pub struct Node {
     stop: Option<oneshot::Sender<()>>,
+    kill: Option<oneshot::Sender<()>>,
+    ended: Option<oneshot::Receiver<()>>,
 }
 
 impl Node {
     /// Starts a node and waits until it listens.
     pub async fn start(settings: MeshSettings) -> Self {
         let (stop, stopped) = oneshot::channel();
+        let (kill, killed) = oneshot::channel();
         let (started_tx, started) = oneshot::channel();
+        let (ended_tx, ended) = oneshot::channel::<()>();
         std::thread::spawn(move || {
             let mut builder = tokio::runtime::Builder::new_current_thread();
             let runtime = builder.enable_all().build().expect("a runtime");
@@ -30,12 +34,25 @@
                     // The sender is dropped to stop the node.
                     let _ = stopped.await;
                 };
-                mesh.run_until(stopped).await;
+                let killed = async {
+                    if killed.await.is_err() {
+                        std::future::pending::<()>().await;
+                    }
+                };
+                tokio::select! {
+                    () = mesh.run_until(stopped) => {}
+                    () = killed => {}
+                }
             });
             runtime.shutdown_background();
+            drop(ended_tx);
         });
         started.await.expect("a node that listens");
-        Self { stop: Some(stop) }
+        Self {
+            stop: Some(stop),
+            kill: Some(kill),
+            ended: Some(ended),
+        }
     }
 
     /// Starts a graceful stop.
@@ -47,4 +64,20 @@
     pub fn stopper(&mut self) -> Option<oneshot::Sender<()>> {
         self.stop.take()
     }
+
+    /// Ends the node at once.
+    pub async fn kill(&mut self) {
+        if let Some(kill) = self.kill.take() {
+            let _ = kill.send(());
+        }
+        self.ended().await;
+    }
+
+    /// Waits until the node has ended.
+    pub async fn ended(&mut self) {
+        if let Some(ended) = self.ended.take() {
+            // The sender is dropped at the end.
+            let _ = ended.await;
+        }
+    }
 }
