Count an answer as open until it is written

Cause: a request counted as open until the head of its answer was returned to the HTTP library. Streamed bodies, and buffered ones that are not written yet, were invisible to a planned stop.

Change: a streamed answer holds its request open until its last byte is passed on, at both nodes. After the last open request each connection ends by itself, once what was read on it is answered and written; the process waits for that within the grace period.

--- a/crates/rhubarblanding_mesh/src/connection/ahead/mod.rs
+++ b/crates/rhubarblanding_mesh/src/connection/ahead/mod.rs
@@ -28,6 +28,7 @@
 use prometheus_client::metrics::counter::Counter;
 use rhubarblanding_node::process::parking::{Mutex, lock};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use self::body::AnswerBody;
 use self::input::Input;
@@ -66,7 +67,8 @@
     counters: AheadCounters,
 }
 
-/// Serves the requests of a connection until it ends.
+/// Serves the requests of a connection until it ends. Once `stop` is set, it ends after the answers
+/// to what was read.
 ///
 /// # Errors
 ///
@@ -77,6 +79,7 @@
     (tcp, addr): (TcpStream, SocketAddr),
     handler: &ClientHandler,
     counters: &AheadCounters,
+    mut stop: watch::Receiver<bool>,
 ) -> Result<(), hyper::Error> {
     let ahead = Arc::new(Ahead::new(head_bytes, counters.clone()));
     let stream = AheadStream {
@@ -96,8 +99,16 @@
     });
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
+    let stopped = stop.wait_for(|stop| *stop);
+    tokio::pin!(stopped);
+    let (mut is_stopping, mut is_ending) = (false, false);
     poll_fn(|cx| {
+        is_stopping = is_stopping || stopped.as_mut().poll(cx).is_ready();
         loop {
+            if is_stopping && !is_ending && ahead.close() {
+                is_ending = true;
+                conn.as_mut().graceful_shutdown();
+            }
             if let Poll::Ready(result) = conn.as_mut().poll(cx) {
                 return Poll::Ready(result);
             }
@@ -176,6 +187,13 @@
         resp.map(|payload| AnswerBody { payload, ahead })
     }
 
+    /// Starts no further request; returns `true` if none waits for its turn.
+    fn close(&self) -> bool {
+        let mut state = lock(&self.state);
+        state.is_closing = true;
+        !state.queue.has_passed_on()
+    }
+
     /// Records that an answer was written.
     fn answered(&self) {
         let mut state = lock(&self.state);
--- a/crates/rhubarblanding_mesh/src/connection/mod.rs
+++ b/crates/rhubarblanding_mesh/src/connection/mod.rs
@@ -11,4 +11,6 @@
 pub use backend::{BackendConn, BackendPool, ConnectError, ExchangeError};
 pub use payload::{Payload, PayloadError};
 pub use peer::{PeerError, PeerPool};
-pub use server::{ClientHandler, ClientServer, Handler, PeerServer, ResponseFuture, bind};
+pub use server::{
+    ClientHandler, ClientServer, Connections, Handler, PeerServer, ResponseFuture, bind,
+};
--- a/crates/rhubarblanding_mesh/src/connection/payload.rs
+++ b/crates/rhubarblanding_mesh/src/connection/payload.rs
@@ -25,7 +25,7 @@
     rest: Incoming,
     /// Ends the stream if its source does not.
     limit: Pin<Box<Sleep>>,
-    guard: Option<Box<dyn EndGuard>>,
+    guards: Vec<Box<dyn EndGuard>>,
 }
 
 /// Reason for which a streamed body breaks off.
@@ -64,25 +64,29 @@
         matches!(self, Self::Buffered(_))
     }
 
-    /// Creates a body of `first` followed by `rest`; `guard` is notified when it ends.
-    pub fn stream(
-        first: VecDeque<Bytes>,
-        rest: Incoming,
-        limit: Instant,
-        guard: Option<Box<dyn EndGuard>>,
-    ) -> Self {
+    /// Creates a body of `first` followed by `rest`, which breaks off at `limit`.
+    pub fn stream(first: VecDeque<Bytes>, rest: Incoming, limit: Instant) -> Self {
         Self::Stream(Box::new(PrefixedStream {
             first,
             rest,
             limit: Box::pin(tokio::time::sleep_until(limit)),
-            guard,
+            guards: Vec::new(),
         }))
     }
+
+    /// Notifies `guard` when a streamed body ends. A buffered body has ended for its source.
+    #[must_use]
+    pub fn guarded(mut self, guard: Box<dyn EndGuard>) -> Self {
+        if let Self::Stream(stream) = &mut self {
+            stream.guards.push(guard);
+        }
+        self
+    }
 }
 
 impl PrefixedStream {
     fn end(&mut self, complete: bool) {
-        if let Some(mut guard) = self.guard.take() {
+        for mut guard in self.guards.drain(..) {
             guard.ended(complete);
         }
     }
--- a/crates/rhubarblanding_mesh/src/connection/server.rs
+++ b/crates/rhubarblanding_mesh/src/connection/server.rs
@@ -66,17 +66,49 @@
     idle: Duration,
 }
 
+/// Counter of open connections.
+#[derive(Clone, Debug, Default)]
+pub struct Connections(Arc<watch::Sender<usize>>);
+
+/// Counts a connection as open until it is dropped.
+#[derive(Debug)]
+struct OpenConnection(Connections);
+
+impl Connections {
+    fn open(&self) -> OpenConnection {
+        self.0.send_modify(|open| *open += 1);
+        OpenConnection(self.clone())
+    }
+
+    /// Returns the number of open connections.
+    pub fn len(&self) -> usize {
+        *self.0.borrow()
+    }
+
+    /// Returns `true` if no connection is open.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.0.send_modify(|open| *open -= 1);
+    }
+}
+
 /// Server for clients and the local target.
 pub struct ClientServer {
     limits: Mutex<ClientConnLimits>,
     handler: ClientHandler,
     counters: AheadCounters,
+    connections: Connections,
 }
 
 impl ClientServer {
     /// Creates a server that answers with `handler`. Requests that clients send ahead are counted in
     /// `counters`.
-    pub fn new(handler: ClientHandler, counters: AheadCounters) -> Self {
+    pub fn new(handler: ClientHandler, counters: AheadCounters, connections: Connections) -> Self {
         let limits = ClientConnLimits {
             head_bytes: 64 * 1024,
             idle: Duration::from_secs(30),
@@ -85,6 +117,7 @@
             limits: Mutex::new(limits),
             handler,
             counters,
+            connections,
         }
     }
 
@@ -95,15 +128,22 @@
         *lock(&self.limits) = ClientConnLimits { head_bytes, idle };
     }
 
-    /// Accepts connections until `stop` is set. Open connections stay open.
+    /// Accepts connections until `stop` is set. Open connections then end as soon as what was read
+    /// on them is answered and the answer is written.
     pub async fn serve(self: Arc<Self>, tcp: TcpListener, mut stop: watch::Receiver<bool>) {
         while let Some((stream, addr)) = accept(&tcp, &mut stop).await {
-            let server = Arc::clone(&self);
-            tokio::spawn(async move { server.serve_connection(stream, addr).await });
+            let (server, stop) = (Arc::clone(&self), stop.clone());
+            tokio::spawn(async move { server.serve_connection(stream, addr, stop).await });
         }
     }
 
-    async fn serve_connection(&self, stream: TcpStream, addr: SocketAddr) {
+    async fn serve_connection(
+        &self,
+        stream: TcpStream,
+        addr: SocketAddr,
+        stop: watch::Receiver<bool>,
+    ) {
+        let _open = self.connections.open();
         let limits = *lock(&self.limits);
         let mut builder = http1::Builder::new();
         builder
@@ -116,6 +156,7 @@
             (stream, addr),
             &self.handler,
             &self.counters,
+            stop,
         )
         .await;
         if let Err(e) = result {
@@ -127,15 +168,20 @@
 /// Server for other nodes.
 pub struct PeerServer {
     handler: Handler,
+    connections: Connections,
 }
 
 impl PeerServer {
     /// Creates a server that answers with `handler`.
-    pub fn new(handler: Handler) -> Self {
-        Self { handler }
+    pub fn new(handler: Handler, connections: Connections) -> Self {
+        Self {
+            handler,
+            connections,
+        }
     }
 
-    /// Accepts connections until `stop` is set. Open connections stay open.
+    /// Accepts connections until `stop` is set. Open connections then end as soon as the requests
+    /// on them are answered.
     pub async fn serve(self, tcp: TcpListener, mut stop: watch::Receiver<bool>) {
         while let Some((stream, addr)) = accept(&tcp, &mut stop).await {
             let handler = Arc::clone(&self.handler);
@@ -151,8 +197,16 @@
                 .max_pending_accept_reset_streams(RESETS_PENDING_MAX)
                 .max_local_error_reset_streams(None)
                 .serve_connection(TokioIo::new(stream), service);
+            let (open, mut stop) = (self.connections.open(), stop.clone());
             tokio::spawn(async move {
+                let _open = open;
+                tokio::pin!(conn);
                 // The other node detects a broken connection itself.
+                tokio::select! {
+                    _ = conn.as_mut() => return,
+                    _ = stop.wait_for(|stop| *stop) => {}
+                }
+                conn.as_mut().graceful_shutdown();
                 let _ = conn.await;
             });
         }
--- a/crates/rhubarblanding_mesh/src/process/mesh.rs
+++ b/crates/rhubarblanding_mesh/src/process/mesh.rs
@@ -7,6 +7,7 @@
 use error_stack::{Report, ResultExt};
 use rhubarblanding_membership::prelude::Input;
 use rhubarblanding_node::process::{Lifecycle, Starting};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
@@ -14,7 +15,7 @@
 use super::{
     configuration, control, departures, freshness, member, quota, registration, stop, suspects,
 };
-use crate::connection::{AheadCounters, ClientHandler, ClientServer, PeerServer, bind};
+use crate::connection::{AheadCounters, ClientHandler, ClientServer, Handler, PeerServer, bind};
 use crate::protocol::Protocol;
 use crate::request::{handle_client, handle_peer};
 use crate::settings::MeshSettings;
@@ -189,46 +190,43 @@
     let shared = Arc::clone(node);
     let handler: ClientHandler =
         Arc::new(move |req, addr| Box::pin(handle_client(Arc::clone(&shared), req, addr)));
-    let clients = Arc::new(ClientServer::new(handler, node.metrics.ahead().clone()));
+    let counters = node.metrics.ahead().clone();
+    let clients = ClientServer::new(handler, counters, node.connections.clone());
+    let clients = Arc::new(clients);
     tokio::spawn(Arc::clone(&clients).serve(client, stopped.clone()));
     tokio::spawn(apply_limits(Arc::clone(node), clients));
 
     let shared = Arc::clone(node);
-    let peers = PeerServer::new(Arc::new(move |req, addr| {
-        Box::pin(handle_peer(Arc::clone(&shared), req, addr))
-    }));
+    let handler: Handler =
+        Arc::new(move |req, addr| Box::pin(handle_peer(Arc::clone(&shared), req, addr)));
+    let peers = PeerServer::new(handler, node.connections.clone());
     tokio::spawn(peers.serve(peer, stopped.clone()));
 
     let shared = Arc::clone(node);
-    spawn_server(
-        control,
-        stopped,
-        Arc::new(move |req, addr| {
-            Box::pin(control::handle_control(Arc::clone(&shared), req, addr))
-        }),
-    );
+    let handler: ClientHandler = Arc::new(move |req, addr| {
+        Box::pin(control::handle_control(Arc::clone(&shared), req, addr))
+    });
+    spawn_server(node, control, stopped, handler);
     let shared = Arc::clone(node);
-    spawn_server(
-        ready,
-        stopped,
-        Arc::new(move |_, _| Box::pin(control::handle_ready(Arc::clone(&shared), listed.clone()))),
-    );
+    let handler: ClientHandler =
+        Arc::new(move |_, _| Box::pin(control::handle_ready(Arc::clone(&shared), listed.clone())));
+    spawn_server(node, ready, stopped, handler);
     let shared = Arc::clone(node);
-    spawn_server(
-        metrics,
-        stopped,
-        Arc::new(move |_, _| Box::pin(control::handle_metrics(Arc::clone(&shared)))),
-    );
+    let handler: ClientHandler =
+        Arc::new(move |_, _| Box::pin(control::handle_metrics(Arc::clone(&shared))));
+    spawn_server(node, metrics, stopped, handler);
     Ok(())
 }
 
 fn spawn_server(
-    tcp: tokio::net::TcpListener,
+    node: &Shared,
+    tcp: TcpListener,
     stopped: &watch::Receiver<bool>,
     handler: ClientHandler,
 ) {
-    let server = Arc::new(ClientServer::new(handler, AheadCounters::default()));
-    tokio::spawn(server.serve(tcp, stopped.clone()));
+    let counters = AheadCounters::default();
+    let server = ClientServer::new(handler, counters, node.connections.clone());
+    tokio::spawn(Arc::new(server).serve(tcp, stopped.clone()));
 }
 
 /// Applies the limits of each new configuration to client connections.
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -11,6 +11,7 @@
 use rhubarblanding_membership::prelude::{Input, Membership, MembershipSettings, Output, ViewMode};
 use rhubarblanding_node::process::Clock;
 use rhubarblanding_node::process::parking::{Mutex, lock};
+use rhubarblanding_node::request::body::EndGuard;
 use rhubarblanding_request::window::{WindowBudget, WindowSettings};
 use rhubarblanding_routing::prelude::{DrainingUse, RouterSettings};
 use rhubarblanding_store::StoreClient;
@@ -26,7 +27,7 @@
 use super::quota::{QuotaAsk, Quotas};
 use super::suspects::Suspects;
 use super::targets::Targets;
-use crate::connection::{BackendPool, PeerPool};
+use crate::connection::{BackendPool, Connections, PeerPool};
 use crate::protocol::Protocol;
 use crate::settings::MeshSettings;
 use crate::version::Version;
@@ -89,6 +90,8 @@
     pub peers: PeerPool,
     /// Requests of this node that other nodes hold.
     pub hops: OpenHops,
+    /// Connections of clients, other nodes and the platform.
+    pub connections: Connections,
     /// Client of the key-value service.
     pub store: StoreClient,
     /// Counters and histograms.
@@ -152,6 +155,7 @@
             quotas,
             peers: PeerPool::new(clock),
             hops: OpenHops::default(),
+            connections: Connections::default(),
             store: StoreClient::with_codec(settings.store, protocol.store_codec()),
             metrics: Metrics::default(),
             settings: Mutex::new(Arc::new(settings)),
@@ -429,6 +433,11 @@
     }
 }
 
+/// An answer that is streamed is open until its last byte is passed on.
+impl EndGuard for OpenRequest {
+    fn ended(&mut self, _: bool) {}
+}
+
 /// Lets the router use draining targets: a target drains when its node stops, and it accepts
 /// requests for as long as the node runs.
 fn router_settings(compares_speeds: bool) -> RouterSettings {
--- a/crates/rhubarblanding_mesh/src/process/stop.rs
+++ b/crates/rhubarblanding_mesh/src/process/stop.rs
@@ -116,9 +116,11 @@
     node.refuse_peers();
     stop.send_replace(true);
     loop {
-        // Requests that arrived at the last moment must be read before they are counted.
+        // Requests that arrived at the last moment must be read before they are counted, and an
+        // answer that was made may not be written yet.
         tokio::time::sleep(POLL_INTERVAL).await;
-        let is_idle = node.open_requests() == 0 && !node.has_pending_records();
+        let is_idle = node.open_requests() == 0 && node.connections.is_empty();
+        let is_idle = is_idle && !node.has_pending_records();
         if is_idle || began.elapsed() >= plan.end {
             break;
         }
@@ -153,7 +155,7 @@
     let LocalRequests { waiting, running } = node.local.requests();
     log::info!(
         open_requests = node.open_requests(), waiting = waiting, running = running,
-        at_other_nodes = node.hops.len();
+        at_other_nodes = node.hops.len(), connections = node.connections.len();
         "{event}"
     );
 }
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -63,7 +63,7 @@
 ) -> Response<Payload> {
     let waited = req.extensions().get::<Arrival>().map(|at| at.0.elapsed());
     let began = node.clock.now() - waited.unwrap_or_default();
-    let _open = node.open_request();
+    let open = node.open_request();
     let mut resp = match begin_exchange(&node, req, began).await {
         Ok(exchange) => {
             let cancel_guard = CancelGuard::new(&node, &exchange);
@@ -82,7 +82,7 @@
         resp.headers_mut()
             .insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    resp
+    resp.map(|payload| payload.guarded(Box::new(open)))
 }
 
 /// Reads a request and finds its route; refuses a request that cannot be served.
--- a/crates/rhubarblanding_mesh/src/request/forward.rs
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -98,7 +98,7 @@
 async fn read_answer(parts: http::response::Parts, body: Incoming, limit: Instant) -> HopOutcome {
     let payload = match small_body::read(body).await {
         Ok(SmallBody::Complete(bytes)) => Payload::buffered(bytes),
-        Ok(SmallBody::Partial(first, rest)) => Payload::stream(first, rest, limit, None),
+        Ok(SmallBody::Partial(first, rest)) => Payload::stream(first, rest, limit),
         Err(_) => return HopOutcome::Lost(ErrorKind::ConnectionLost),
     };
     HopOutcome::Answered(Response::from_parts(parts, payload))
--- a/crates/rhubarblanding_mesh/src/request/peer.rs
+++ b/crates/rhubarblanding_mesh/src/request/peer.rs
@@ -51,7 +51,7 @@
             _ => {}
         }
     }
-    let _open = node.open_request();
+    let open = node.open_request();
     if node.is_refusing_peers() {
         let refusal = Refusal::new(ErrorKind::NodeDraining);
         return encode(HopReply {
@@ -89,6 +89,7 @@
         notice,
     };
     let resp = encode(serve_local(Arc::clone(&node), hop).await);
+    let resp = resp.map(|payload| payload.guarded(Box::new(open)));
     match is_asked {
         true => with_word(&node, resp),
         false => resp,
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -341,7 +341,7 @@
                 conn: Some(conn),
                 _permit: permit.take(),
             };
-            let stream = Payload::stream(first, rest, limit, Some(Box::new(guard)));
+            let stream = Payload::stream(first, rest, limit).guarded(Box::new(guard));
             HopOutcome::Answered(Response::from_parts(parts, stream))
         }
         Err(e) => {
--- a/crates/rhubarblanding_mesh/tests/ahead/server.rs
+++ b/crates/rhubarblanding_mesh/tests/ahead/server.rs
@@ -9,7 +9,7 @@
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use rhubarblanding_mesh::connection::{
-    AheadCounters, Arrival, ClientServer, Payload, RequestBody, Turn, bind,
+    AheadCounters, Arrival, ClientServer, Connections, Payload, RequestBody, Turn, bind,
 };
 use tokio::sync::watch;
 
@@ -63,6 +63,7 @@
     let server = ClientServer::new(
         Arc::new(move |req, _| Box::pin(handle(Arc::clone(&shared), req))),
         counters.clone(),
+        Connections::default(),
     );
     server.set_limits(HEAD_BYTES, Duration::from_secs(2));
     let (stop, stopped) = watch::channel(false);
--- a/crates/rhubarblanding_mesh/tests/mesh/protocol.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/protocol.rs
@@ -18,7 +18,8 @@
 /// Key of the configuration in the key-value service.
 pub const CONFIGURATION_KEY: &str = "operators/configuration";
 
-/// Text of a configuration: a version, then lines of `prefix service idempotent`. A further line may
+/// Text of a configuration: a version, then lines of `prefix service idempotent`; the prefix
+/// `/slow/` has a longer timeout. A further line may
 /// be `anonymous prefix service` or `account name/rank/quota key`; rank and quota may be left
 /// out.
 pub fn configuration_text(version: u64, routes: &[(&str, &str, bool)]) -> String {
@@ -142,7 +143,10 @@
                 host: "mesh.example".to_owned(),
                 path_prefix: prefix.to_owned(),
                 idempotent: idempotent == "true",
-                timeout_ms: 3_000,
+                timeout_ms: match prefix {
+                    "/slow/" => 8_000,
+                    _ => 3_000,
+                },
                 objective_ms: 1_000,
                 rank: 0,
                 max_attempts: 2,
--- a/crates/rhubarblanding_mesh/tests/mesh/stops.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/stops.rs
@@ -1,13 +1,16 @@
 //! Planned stops: what a stopping node owes to the requests that it has read.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use googletest::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 
 use super::fleet::{Answer, Fleet, HostOptions};
 use super::protocol::configuration_text;
-use super::target::{Behaviour, header};
+use super::target::{Behaviour, DOWNLOAD_BYTES, header};
 use super::{ROUTES, set_all};
 
 /// Grace period of the nodes, shorter than the deadlines of the requests.
@@ -108,3 +111,59 @@
     let left: Option<u64> = header(&head, "t-deadline").and_then(|value| value.parse().ok());
     assert_that!(left, some(lt((GRACE / 3).as_millis() as u64)));
 }
+
+/// Time over which a client reads a download evenly: longer than a node without open requests
+/// takes to stop.
+const READING_TIME: Duration = Duration::from_millis(4_000);
+
+/// Opens a connection whose receive buffer is small, as that of a slow reader.
+async fn connect(addr: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(64 * 1024).expect("a buffer");
+    socket.connect(addr).await.expect("a connection")
+}
+
+/// Reads the answer to a download evenly over `time`; returns the bytes of head and body.
+async fn read_evenly(tcp: &mut TcpStream, time: Duration) -> usize {
+    let (began, mut got) = (Instant::now(), 0);
+    let mut buf = vec![0; 64 * 1024];
+    // A reset is an end as well.
+    while let Ok(n @ 1..) = tcp.read(&mut buf).await {
+        got += n;
+        let due = time.mul_f64(got as f64 / DOWNLOAD_BYTES as f64);
+        tokio::time::sleep(due.saturating_sub(began.elapsed())).await;
+        if got >= DOWNLOAD_BYTES {
+            break;
+        }
+    }
+    got
+}
+
+/// Stops host `stopping` while a client of host 0 reads a download.
+async fn download_ends_whole_while_a_node_stops(stopping: usize) {
+    let options = HostOptions {
+        grace_period: READING_TIME + Duration::from_secs(1),
+        ..HostOptions::default()
+    };
+    let configuration = configuration_text(1, &[("/slow/", "turnos", true)]);
+    let mut fleet = Fleet::with_options(&["egresos", "turnos"], options, &configuration).await;
+    set_all(&fleet, Behaviour::Download);
+    let mut tcp = connect(fleet.hosts[0].client).await;
+    let head = "GET /slow/x HTTP/1.1\r\nhost: mesh.example\r\nt-id: r1\r\n\r\n";
+    tcp.write_all(head.as_bytes()).await.expect("open");
+    let stop = fleet.stop_after(stopping, Duration::from_millis(50));
+    let (got, ()) = tokio::join!(read_evenly(&mut tcp, READING_TIME), stop);
+    assert_that!(got, ge(DOWNLOAD_BYTES));
+}
+
+/// A streamed answer did not count as open: its node ended in the middle of it (LOST).
+#[tokio::test]
+async fn download_ends_whole_while_its_entry_node_stops() {
+    download_ends_whole_while_a_node_stops(0).await;
+}
+
+/// The same at the node beside the target, which passes the answer on.
+#[tokio::test]
+async fn download_ends_whole_while_the_node_beside_its_target_stops() {
+    download_ends_whole_while_a_node_stops(1).await;
+}
--- a/crates/rhubarblanding_mesh/tests/mesh/target.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/target.rs
@@ -14,6 +14,8 @@
 
 /// Time until a late answer.
 pub const SLOW: Duration = Duration::from_millis(500);
+/// Size of a download, in bytes: more than the sockets on its way hold.
+pub const DOWNLOAD_BYTES: usize = 24 << 20;
 /// Size of a large answer, in bytes.
 pub const LARGE_BYTES: usize = 4 << 20;
 
@@ -38,6 +40,8 @@
     Cut,
     /// Runs it and closes the connection in the middle of an answer of [`LARGE_BYTES`].
     CutLarge,
+    /// Runs it and answers with [`DOWNLOAD_BYTES`].
+    Download,
     /// Answers, then sends an unsolicited second answer.
     Extra,
     /// Runs it and answers, after a copy of the connection's answer before.
@@ -316,6 +320,7 @@
             let half = "x".repeat(LARGE_BYTES / 2);
             format!("{head}content-length: {LARGE_BYTES}\r\n\r\n{half}")
         }
+        Behaviour::Download => with("200 OK", id, signed, &"x".repeat(DOWNLOAD_BYTES)),
         Behaviour::Extra => {
             let first = with("200 OK", id, signed, "whole");
             first + &with("200 OK", id, signed, "extra")
