Read a list on after a key of another writer

Seen in a test after a report of other operators: if the last key of a page of the list of nodes is one that no node writes, the list failed as a whole, and no node found another.

Cause: the key after which the next page begins was made a checked key of this product. Change: it is sent back as it came, escaped.

list_goes_on_after_a_page_that_ends_with_an_odd_key failed before (no target serves within 10 s) and passes.

--- a/crates/rhubarblanding_store/src/client/mod.rs
+++ b/crates/rhubarblanding_store/src/client/mod.rs
@@ -178,12 +178,9 @@
     ) -> StoreResult<Vec<ListEntry>> {
         let mut entries: Vec<ListEntry> = Vec::new();
         loop {
-            let after = entries.last().map(|entry| Key::try_from(&*entry.key));
             let call = StoreCall::List {
                 prefix: prefix.clone(),
-                after: after.transpose().map_err(|e| {
-                    Report::new(StoreError::InvalidAnswer).attach(format!("key {e}"))
-                })?,
+                after: entries.last().map(|entry| (*entry.key).into()),
                 freshness,
             };
             let page = self.codec.decode_list(self.call(call).await?)?;
--- a/crates/rhubarblanding_store/src/codec/mod.rs
+++ b/crates/rhubarblanding_store/src/codec/mod.rs
@@ -66,8 +66,9 @@
     List {
         /// The prefix.
         prefix: Key,
-        /// Last key of the previous page.
-        after: Option<Key>,
+        /// Last key of the previous page. Another writer may have chosen it, so that it is no valid
+        /// [`Key`].
+        after: Option<Box<str>>,
         /// Required freshness.
         freshness: Freshness,
     },
