Check the head of an answer before its body is streamed

Cause: unusable answers were told apart where buffered ones are classified; a streamed one was passed on unseen. A large refusal of a target counted as its answer, so that no other target was tried.

Change: the head of each answer is checked before the body is passed on.

Hosts of the tests can be stopped and killed while requests are sent.

--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -327,56 +327,66 @@
     let notice = node.protocol.notice(&parts.headers);
     node.local
         .observe_notice(node, permit.instance(), at, notice);
-    match small_body::read(body).await {
-        Ok(SmallBody::Complete(bytes)) => {
-            permit.answered(parts.status);
-            node.backend.put(conn);
-            classify(node, parts, bytes, permit.instance(), id)
-        }
-        Ok(SmallBody::Partial(first, rest)) => {
-            permit.answered(parts.status);
-            strip_connection_headers(&mut parts.headers);
-            let guard = StreamGuard {
-                node: Arc::clone(node),
-                conn: Some(conn),
-                _permit: permit.take(),
-            };
-            let stream = Payload::stream(first, rest, limit).guarded(Box::new(guard));
-            HopOutcome::Answered(Response::from_parts(parts, stream))
-        }
+    let body = match small_body::read(body).await {
+        Ok(body) => body,
         Err(e) => {
             if e.is_parse() {
                 node.backend.record_garbled();
             }
             node.log_target_failure(id, "answer_cut");
-            HopOutcome::Lost(ErrorKind::ConnectionLost)
+            return HopOutcome::Lost(ErrorKind::ConnectionLost);
         }
+    };
+    permit.answered(parts.status);
+    // A connection with an answer that is not read to its end is closed.
+    let conn = match &body {
+        SmallBody::Complete(_) => {
+            node.backend.put(conn);
+            None
+        }
+        SmallBody::Partial(..) => Some(conn),
+    };
+    if let Some(outcome) = unusable(node, &parts, permit.instance(), id) {
+        return outcome;
     }
+    strip_connection_headers(&mut parts.headers);
+    let payload = match body {
+        SmallBody::Complete(bytes) => {
+            parts.headers.remove(header::CONTENT_LENGTH);
+            Payload::buffered(bytes)
+        }
+        SmallBody::Partial(first, rest) => {
+            let guard = StreamGuard {
+                node: Arc::clone(node),
+                conn,
+                _permit: permit.take(),
+            };
+            Payload::stream(first, rest, limit).guarded(Box::new(guard))
+        }
+    };
+    HopOutcome::Answered(Response::from_parts(parts, payload))
 }
 
-/// Classifies a complete answer of the target.
-fn classify(
+/// Returns the outcome of an answer that is not passed on, however large its body is.
+fn unusable(
     node: &Arc<Shared>,
-    mut parts: http::response::Parts,
-    body: Bytes,
+    parts: &http::response::Parts,
     instance: &Instance,
     id: Option<&HeaderValue>,
-) -> HopOutcome {
+) -> Option<HopOutcome> {
     if parts.headers.contains_key(header::CONTENT_ENCODING) {
         // No request accepts a content encoding, so this is not the target's body.
         node.backend.record_garbled();
         node.log_target_failure(id, "encoded_answer");
-        return HopOutcome::Lost(ErrorKind::ConnectionLost);
+        return Some(HopOutcome::Lost(ErrorKind::ConnectionLost));
     }
     if is_not_run(node, parts.status, &parts.headers) {
         if parts.status == StatusCode::MISDIRECTED_REQUEST {
             node.local.record_misdirected(node, &instance.id);
         }
-        return HopOutcome::Shed(Refusal::new(ErrorKind::BackendShed));
+        return Some(HopOutcome::Shed(Refusal::new(ErrorKind::BackendShed)));
     }
-    strip_connection_headers(&mut parts.headers);
-    parts.headers.remove(header::CONTENT_LENGTH);
-    HopOutcome::Answered(Response::from_parts(parts, Payload::buffered(body)))
+    None
 }
 
 /// Returns `true` if the target reports that it did not run the request.
--- a/crates/rhubarblanding_mesh/tests/mesh/departures.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/departures.rs
@@ -67,7 +67,7 @@
 /// A target that left was served again after a restart of its node: the departure had been
 /// acknowledged when only the memory of the node held it (DRAIN).
 async fn departure_outlasts_its_node(trouble: Trouble) {
-    let mut fleet = fleet().await;
+    let fleet = fleet().await;
     trouble.begin(&fleet);
     leave(&fleet).await;
     fleet.kill(LEAVING).await;
@@ -137,7 +137,7 @@
 /// A departure that other nodes hold is stored by the restarted node, which learned it from them.
 #[tokio::test]
 async fn learned_departure_is_stored() {
-    let mut fleet = fleet().await;
+    let fleet = fleet().await;
     outage(OutageMode::Refuse).begin(&fleet);
     leave(&fleet).await;
     fleet.kill(LEAVING).await;
@@ -150,7 +150,7 @@
 /// A restarted node whose target has not left serves it after its first report.
 #[tokio::test]
 async fn running_target_is_served_after_one_report() {
-    let mut fleet = fleet().await;
+    let fleet = fleet().await;
     fleet.kill(LEAVING).await;
     fleet.start_again(LEAVING).await;
     tokio::time::sleep(START).await;
@@ -163,7 +163,7 @@
 /// was started again.
 #[tokio::test]
 async fn departure_outlasts_its_node_while_the_store_is_restored() {
-    let mut fleet = fleet().await;
+    let fleet = fleet().await;
     let copy = fleet.store.copy();
     leave(&fleet).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
--- a/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet of nodes with their targets and a key-value service, all in the test process.
 
 use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use http::{Method, Request, StatusCode};
@@ -51,10 +52,16 @@
     pub metrics: SocketAddr,
     pub service: &'static str,
     pub target: Target,
-    node: Node,
+    node: Mutex<Node>,
     settings: MeshSettings,
 }
 
+impl Host {
+    fn node(&self) -> MutexGuard<'_, Node> {
+        self.node.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Answer received by a client; `None` if the connection ended without one.
 pub type Answer = Option<(StatusCode, http::HeaderMap, String)>;
 
@@ -169,13 +176,13 @@
     }
 
     /// Starts a graceful stop of host `i`.
-    pub fn stop(&mut self, i: usize) {
-        self.hosts[i].node.stop();
+    pub fn stop(&self, i: usize) {
+        self.hosts[i].node().stop();
     }
 
     /// Stops host `i` gracefully after `delay`.
-    pub fn stop_after(&mut self, i: usize, delay: Duration) -> impl Future<Output = ()> + use<> {
-        let stop = self.hosts[i].node.stopper();
+    pub fn stop_after(&self, i: usize, delay: Duration) -> impl Future<Output = ()> + use<> {
+        let stop = self.hosts[i].node().stopper();
         async move {
             tokio::time::sleep(delay).await;
             drop(stop);
@@ -183,14 +190,17 @@
     }
 
     /// Ends the node of host `i` at once.
-    pub async fn kill(&mut self, i: usize) {
-        self.hosts[i].node.kill().await;
+    pub async fn kill(&self, i: usize) {
+        let ended = self.hosts[i].node().kill();
+        // The sender is dropped at the end.
+        let _ = ended.await;
     }
 
     /// Starts the node of host `i` anew, after its end.
-    pub async fn start_again(&mut self, i: usize) {
+    pub async fn start_again(&self, i: usize) {
         let settings = self.hosts[i].settings.clone();
-        self.hosts[i].node = Node::start(settings).await;
+        let node = Node::start(settings).await;
+        *self.hosts[i].node() = node;
     }
 
     async fn wait_until_ready(&self) {
@@ -335,7 +345,7 @@
         metrics: listen.metrics,
         service,
         target,
-        node: Node::start(settings.clone()).await,
+        node: Mutex::new(Node::start(settings.clone()).await),
         settings,
     }
 }
--- a/crates/rhubarblanding_mesh/tests/mesh/main.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/main.rs
@@ -87,6 +87,8 @@
     cut_answer_is_not_delivered: (Behaviour::Cut, "/once/x", 502, 1);
     answer_of_another_request_is_not_delivered: (Behaviour::WrongId, "/once/x", 502, 1);
     encoded_answer_is_not_delivered: (Behaviour::Encoded, "/once/x", 502, 1);
+    encoded_large_answer_is_not_delivered: (Behaviour::EncodedLarge, "/once/x", 502, 1);
+    large_refusal_did_not_run: (Behaviour::ShedLarge, "/once/x", 503, 0);
     shed_request_did_not_run: (Behaviour::Shed, "/once/x", 503, 0);
     failure_is_delivered: (Behaviour::Fail, "/once/x", 500, 1);
     failure_is_retried_if_it_may_run_twice: (Behaviour::Fail, "/safe/x", 500, 2);
@@ -264,7 +266,7 @@
 /// node exits; requests that are not run are refused with a retry delay.
 #[tokio::test]
 async fn stopping_node_answers_everything_that_it_reads() {
-    let mut fleet = fleet().await;
+    let fleet = fleet().await;
     fleet.stop(0);
     let began = Instant::now();
     let mut refused = 0;
@@ -301,7 +303,7 @@
 /// all of them in turn causes no outage.
 #[tokio::test]
 async fn stopping_nodes_serve_while_no_other_target_of_their_service_does() {
-    let mut fleet = fleet().await;
+    let fleet = fleet().await;
     fleet.stop(1);
     fleet.stop(2);
     let began = Instant::now();
--- a/crates/rhubarblanding_mesh/tests/mesh/node.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/node.rs
@@ -65,19 +65,12 @@
         self.stop.take()
     }
 
-    /// Ends the node at once.
-    pub async fn kill(&mut self) {
+    /// Ends the node at once; the receiver tells when it has ended.
+    pub fn kill(&mut self) -> oneshot::Receiver<()> {
         if let Some(kill) = self.kill.take() {
             let _ = kill.send(());
         }
-        self.ended().await;
-    }
-
-    /// Waits until the node has ended.
-    pub async fn ended(&mut self) {
-        if let Some(ended) = self.ended.take() {
-            // The sender is dropped at the end.
-            let _ = ended.await;
-        }
+        let (_, gone) = oneshot::channel();
+        self.ended.take().unwrap_or(gone)
     }
 }
--- a/crates/rhubarblanding_mesh/tests/mesh/stops.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/stops.rs
@@ -50,7 +50,7 @@
 /// the node of `stopping`: each waiting request must be refused, and must not run. Returns the time
 /// from the stop to the last refusal.
 async fn waiting_requests_are_refused(entry: usize, stopping: usize) -> Duration {
-    let mut fleet = fleet().await;
+    let fleet = fleet().await;
     set_all(&fleet, Behaviour::Work);
     let stop = fleet.stop_after(stopping, ARRIVAL * 2);
     let began = Instant::now();
@@ -96,7 +96,7 @@
     };
     let routes = [("/once/", "turnos", false), ("/call/", "egresos", true)];
     let configuration = configuration_text(1, &routes);
-    let mut fleet = Fleet::with_options(&["egresos", "turnos"], options, &configuration).await;
+    let fleet = Fleet::with_options(&["egresos", "turnos"], options, &configuration).await;
     set_all(&fleet, Behaviour::Work);
     let stop = fleet.stop_after(1, ARRIVAL);
     let call = async {
@@ -146,7 +146,7 @@
         ..HostOptions::default()
     };
     let configuration = configuration_text(1, &[("/slow/", "turnos", true)]);
-    let mut fleet = Fleet::with_options(&["egresos", "turnos"], options, &configuration).await;
+    let fleet = Fleet::with_options(&["egresos", "turnos"], options, &configuration).await;
     set_all(&fleet, Behaviour::Download);
     let mut tcp = connect(fleet.hosts[0].client).await;
     let head = "GET /slow/x HTTP/1.1\r\nhost: mesh.example\r\nt-id: r1\r\n\r\n";
--- a/crates/rhubarblanding_mesh/tests/mesh/target.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/target.rs
@@ -36,6 +36,10 @@
     WrongId,
     /// Runs it and answers with an encoded body.
     Encoded,
+    /// Runs it and answers with an encoded body of [`LARGE_BYTES`].
+    EncodedLarge,
+    /// Refuses it without running it, with a body of [`LARGE_BYTES`].
+    ShedLarge,
     /// Runs it and closes the connection in the middle of the answer.
     Cut,
     /// Runs it and closes the connection in the middle of an answer of [`LARGE_BYTES`].
@@ -189,7 +193,7 @@
         while let Some(head) = read_request(&mut stream).await {
             lock(&self.recorded).arrived.push(Instant::now());
             let behaviour = *lock(&self.behaviour);
-            if behaviour != Behaviour::Shed {
+            if !matches!(behaviour, Behaviour::Shed | Behaviour::ShedLarge) {
                 lock(&self.recorded).ran.push(head.clone());
             }
             let crashes_on = *lock(&self.crashes_on);
@@ -312,6 +316,14 @@
         Behaviour::Fail => with("500 Internal Server Error", id, signed, "failed"),
         Behaviour::WrongId => with("200 OK", "another", signed, "foreign"),
         Behaviour::Encoded => with("200 OK", id, "content-encoding: gzip\r\n", "xx"),
+        Behaviour::EncodedLarge => {
+            let encoded = format!("{signed}content-encoding: gzip\r\n");
+            with("200 OK", id, &encoded, &"x".repeat(LARGE_BYTES))
+        }
+        Behaviour::ShedLarge => {
+            let body = "x".repeat(LARGE_BYTES);
+            with("503 Service Unavailable", id, "t-not-run: 1\r\n", &body)
+        }
         Behaviour::Cut => {
             format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\ncontent-length: 99\r\n\r\nhalf")
         }
