Keep quotas from the first request of a process on

Cause: the state that keeps quotas was made by a task that runs every 250 ms; a request before that was taken for one of a node that keeps none.

Change: the first request of an account makes that state.

--- a/crates/rhubarblanding_mesh/src/process/quota.rs
+++ b/crates/rhubarblanding_mesh/src/process/quota.rs
@@ -140,9 +140,10 @@
     ) -> Option<Result<Decision, oneshot::Receiver<Decision>>> {
         let now = node.clock.now();
         let state = &mut *lock(&self.state);
-        let machine = state.machine.as_mut()?;
+        // A node that has just started keeps quotas from its first request on.
         let ticket = Ticket(state.next_ticket);
         state.next_ticket += 1;
+        let machine = state.prepare(now, node, self.me)?;
         if let Some(decision) = machine.request(now, account, quota, ticket) {
             return Some(Ok(decision));
         }
@@ -196,34 +197,18 @@
 
     /// Lets time pass; returns the time until the next call.
     fn tick(&self, node: &Shared) -> Duration {
-        let bound = node.settings().accounts.quota;
         let is_limited = node.version().is_some_and(|version| {
             let accounts = version.configuration().accounts.accounts();
             accounts.iter().any(|account| account.quota.is_some())
         });
         let now = node.clock.now();
-        // Without a configuration the node doesn't know the limits that it would grant by.
-        let bound = bound.filter(|_| node.version().is_some());
-        let Some(bound) = bound else {
-            let state = &mut *lock(&self.state);
-            state.machine = None;
-            // Requests that wait are no longer limited.
-            state.waiting.clear();
-            return IDLE_INTERVAL;
-        };
         {
             let state = &mut *lock(&self.state);
-            match state.machine.as_mut() {
-                Some(machine) => machine.set_bound(bound),
-                None => {
-                    let machine = QuotaNode::new(now, self.me, bound, Mechanisms::default());
-                    state.machine = Some(machine);
-                    state.set_members(now);
-                }
-            }
+            let Some(machine) = state.prepare(now, node, self.me) else {
+                return IDLE_INTERVAL;
+            };
             if !is_limited {
-                let machine = state.machine.as_mut();
-                machine.into_iter().for_each(|machine| machine.rest(now));
+                machine.rest(now);
                 return IDLE_INTERVAL;
             }
         }
@@ -273,6 +258,26 @@
 }
 
 impl State {
+    /// Returns the state machine with the bound of the settings; `None` if quotas are not kept.
+    fn prepare(&mut self, now: MonoTime, node: &Shared, me: HostId) -> Option<&mut QuotaNode> {
+        let bound = node.settings().accounts.quota;
+        // Without a configuration the node doesn't know the limits that it would grant by.
+        let Some(bound) = bound.filter(|_| node.version().is_some()) else {
+            self.machine = None;
+            // Requests that wait are no longer limited.
+            self.waiting.clear();
+            return None;
+        };
+        if self.machine.is_none() {
+            let machine = QuotaNode::new(now, me, bound, Mechanisms::default());
+            self.machine = Some(machine);
+            self.set_members(now);
+        }
+        let machine = self.machine.as_mut()?;
+        machine.set_bound(bound);
+        Some(machine)
+    }
+
     fn set_members(&mut self, now: MonoTime) {
         let members = self.members.iter().copied().collect();
         if let Some(machine) = self.machine.as_mut() {
--- a/crates/rhubarblanding_mesh/tests/mesh/quotas.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/quotas.rs
@@ -112,3 +112,50 @@
     let asked = fleet.tell(0, "/quota", "{\"q\":[]}".to_owned()).await;
     assert_that!(asked.map(|status| status.as_u16()), some(eq(200)));
 }
+
+/// A node that had just started admitted requests without a charge, as it was not yet in the group
+/// that keeps quotas (QUOTA).
+#[tokio::test]
+async fn node_that_has_just_started_keeps_quotas() {
+    let fleet = fleet(Some(BOUND)).await;
+    fleet.kill(0).await;
+    let at_started = async {
+        tokio::time::sleep(BOUND.window / 2).await;
+        fleet.start_again(0).await;
+        let mut requests = JoinSet::new();
+        for i in 0..HOT_PER_S {
+            let fleet = Arc::clone(&fleet);
+            requests.spawn(async move {
+                let headers = [("t-key", "k1")];
+                let id = format!("start-{i}");
+                let answer = fleet.request_with(0, "/once/x", &id, &headers).await;
+                answer.is_some_and(|(status, ..)| status.as_u16() == 200)
+            });
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        requests
+            .join_all()
+            .await
+            .into_iter()
+            .filter(|ran| *ran)
+            .count()
+    };
+    let at_others = async {
+        let mut ran = 0;
+        for i in 0..HOT_PER_S {
+            let headers = [("t-key", "k1")];
+            let node = 1 + i as usize % (fleet.hosts.len() - 1);
+            let id = format!("other-{i}");
+            let answer = fleet.request_with(node, "/once/x", &id, &headers).await;
+            ran += usize::from(answer.expect("an answer").0.as_u16() == 200);
+            tokio::time::sleep(BOUND.window / HOT_PER_S).await;
+        }
+        ran
+    };
+    let (at_started, at_others) = tokio::join!(at_started, at_others);
+    assert_that!(
+        (at_started + at_others) as f64,
+        le(BOUND.max_in_window(QUOTA)),
+        "{at_started} at the started node"
+    );
+}
