Hand a departure over again until it is stored

A departure that was acknowledged because other nodes hold it was lost when these nodes were started again, one after the other, and then the node of the target, with the key-value service away all the while: the holders were asked once.

Change: until the departure is stored, its node asks others again each second.

--- a/crates/rhubarblanding_mesh/src/process/departures.rs
+++ b/crates/rhubarblanding_mesh/src/process/departures.rs
@@ -42,6 +42,8 @@
 const ASKED_AT_START: usize = 16;
 /// Time for an answer of one of them.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which nodes are asked again to hold a departure that is not stored.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 /// Delays between attempts to hand a departure over.
 const HAND_OVER_BACKOFF: BackoffSettings = BackoffSettings {
     first: Duration::from_millis(100),
@@ -98,11 +100,18 @@
     },
 }
 
+/// Where a departure is kept besides the memory of this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Kept {
+    Nowhere,
+    ByNodes,
+    InStore,
+}
+
 /// Departures that a node keeps: those of its own target and those that it holds for others.
 #[derive(Debug, Default)]
 pub struct Departures {
-    /// `true` for what outlasts this process.
-    own: Mutex<HashMap<Instance, watch::Sender<bool>>>,
+    own: Mutex<HashMap<Instance, watch::Sender<Kept>>>,
     held: Mutex<HeldDepartures>,
 }
 
@@ -126,7 +135,7 @@
 /// The attempts go on.
 pub(super) async fn keep(node: &Arc<Shared>, instance: &Instance) -> bool {
     let mut kept = begin(node, instance);
-    let waiting = kept.wait_for(|kept| *kept);
+    let waiting = kept.wait_for(|kept| *kept != Kept::Nowhere);
     let is_kept = matches!(tokio::time::timeout(KEEP_TIMEOUT, waiting).await, Ok(Ok(_)));
     if !is_kept {
         log::warn!(instance:% = instance.id, born = instance.started_at.0; "departure_not_kept_yet");
@@ -134,14 +143,13 @@
     is_kept
 }
 
-/// Begins to keep a departure, if that has not begun. The receiver tells when it outlasts this
-/// process.
-pub(super) fn begin(node: &Arc<Shared>, instance: &Instance) -> watch::Receiver<bool> {
+/// Begins to keep a departure, if that has not begun. The receiver tells where it is kept.
+pub(super) fn begin(node: &Arc<Shared>, instance: &Instance) -> watch::Receiver<Kept> {
     let mut own = lock(&node.departures.own);
     if let Some(kept) = own.get(instance) {
         return kept.subscribe();
     }
-    let kept = watch::Sender::new(false);
+    let kept = watch::Sender::new(Kept::Nowhere);
     own.insert(instance.clone(), kept.clone());
     drop(own);
     tokio::spawn(store(Arc::clone(node), instance.clone(), kept.clone()));
@@ -149,34 +157,49 @@
     kept.subscribe()
 }
 
-async fn store(node: Arc<Shared>, instance: Instance, kept: watch::Sender<bool>) {
+async fn store(node: Arc<Shared>, instance: Instance, kept: watch::Sender<Kept>) {
     registration::record_until_stored(node, instance).await;
-    kept.send_replace(true);
+    kept.send_replace(Kept::InStore);
 }
 
-/// Has other nodes hold a departure.
-async fn hand_over(node: Arc<Shared>, instance: Instance, kept: watch::Sender<bool>) {
+/// Has other nodes hold a departure, again and again until it is stored: they may end as well.
+async fn hand_over(node: Arc<Shared>, instance: Instance, kept: watch::Sender<Kept>) {
     let mut rng = SmallRng::from_os_rng();
     let mut backoff = Backoff::new(HAND_OVER_BACKOFF);
     tokio::time::sleep(HAND_OVER_AFTER).await;
-    for attempt in 1.. {
+    let (mut attempts_if_stored, mut is_held) = (0, false);
+    loop {
         let holders = in_order(node.host_id(), other_nodes(&node), HOLDERS_ASKED);
         let needed = HOLDERS_MIN.min(holders.len());
         let asked = holders.len();
         let held = ask_to_hold(&node, holders, &instance, needed).await;
-        if needed > 0 && held >= needed {
+        let was_held = std::mem::replace(&mut is_held, needed > 0 && held >= needed);
+        if was_held != is_held || !is_held {
             log::info!(
-                instance:% = instance.id, born = instance.started_at.0, nodes = held, asked = asked;
-                "departure_held_by_nodes"
+                instance:% = instance.id, born = instance.started_at.0, nodes = held, asked = asked,
+                is_enough = is_held;
+                "departure_handed_over"
             );
-            kept.send_replace(true);
-            return;
         }
-        log::info!(instance:% = instance.id, nodes = held, asked = asked; "departure_not_held");
-        if *kept.borrow() && attempt >= ATTEMPTS_IF_STORED {
+        let is_stored = *kept.borrow() == Kept::InStore;
+        attempts_if_stored += u32::from(is_stored);
+        if is_stored && (is_held || attempts_if_stored >= ATTEMPTS_IF_STORED) {
             return;
         }
-        tokio::time::sleep(backoff.next_delay(&mut rng)).await;
+        if is_held {
+            kept.send_if_modified(|kept| {
+                let is_news = *kept == Kept::Nowhere;
+                *kept = match is_news {
+                    true => Kept::ByNodes,
+                    false => *kept,
+                };
+                is_news
+            });
+            backoff = Backoff::new(HAND_OVER_BACKOFF);
+            tokio::time::sleep(REFRESH_INTERVAL).await;
+        } else {
+            tokio::time::sleep(backoff.next_delay(&mut rng)).await;
+        }
     }
 }
 
--- a/crates/rhubarblanding_mesh/tests/mesh/departures.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/departures.rs
@@ -175,3 +175,25 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_that!(arrived_at_last_target(&fleet).await, eq(0));
 }
+
+/// The nodes that held an acknowledged departure were started again, one after the other, while the
+/// key-value service was away, and then the node of the target.
+#[tokio::test]
+async fn departure_outlasts_the_nodes_that_hold_it() {
+    let fleet = fleet().await;
+    outage(OutageMode::Refuse).begin(&fleet);
+    leave(&fleet).await;
+    for holder in [0, LEAVING + 1] {
+        fleet.kill(holder).await;
+        fleet.start_again(holder).await;
+        tokio::time::sleep(START * 2).await;
+    }
+    fleet.kill(LEAVING).await;
+    fleet.start_again(LEAVING).await;
+    tokio::time::sleep(START).await;
+    Trouble::end(&fleet);
+    tokio::time::sleep(START).await;
+    fleet.report(LEAVING, 9, "ready").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_that!(arrived_at_last_target(&fleet).await, eq(0));
+}
