--- a/crates/rhubarblanding_mesh/tests/mesh/ahead.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/ahead.rs
@@ -74,7 +74,7 @@
 
 #[tokio::test]
 async fn stopping_node_answers_what_it_passed_on_and_leaves_the_rest_unread() {
-    let mut fleet = fleet().await;
+    let fleet = fleet().await;
     let paths = ["/slow/x", "/safe/a", "/slow/y", "/once/b", "/safe/c"];
     let tcp = send(&fleet, &paths).await;
     tokio::time::sleep(SETTLE).await;
