Ask silent nodes for departures again at once

Cause: a process that starts asks others for departures that they hold; hosts without power do not refuse connections, so each attempt took 0.3 s, the pool held them off for 0.2 s, and the next came after up to 1.6 s. Until then a target serves after a second report only.

Change: the asks have connections of their own and rounds of 0.1 s and more, which ask the silent ones only.

--- a/crates/rhubarblanding_mesh/src/process/departures.rs
+++ b/crates/rhubarblanding_mesh/src/process/departures.rs
@@ -22,7 +22,7 @@
 use super::registration::{self, DEPARTED_TTL};
 use super::shared::Shared;
 use super::{held::HeldDepartures, message};
-use crate::connection::PeerError;
+use crate::connection::{PeerError, PeerPool};
 use crate::protocol::{Instance, InstanceId};
 use crate::request::DEPARTURES_PATH;
 
@@ -40,7 +40,14 @@
 /// Number of nodes that a process asks at its start: more than [`HOLDERS_ASKED`], as nodes join and
 /// leave meanwhile.
 const ASKED_AT_START: usize = 16;
-/// Time for an answer of one of them.
+/// Time for the answers of the first round at the start; each later round has that much more, up to
+/// [`ASK_TIMEOUT`]. A host without power does not refuse connections, and accepts them soon after.
+const FIRST_ASK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Pause between two rounds.
+const ROUND_PAUSE: Duration = Duration::from_millis(30);
+/// Rounds before the key-value service is read again, which forgets hosts that are gone for good.
+const ROUNDS_AT_START: u32 = 6;
+/// Time for an answer about departures.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which nodes are asked again to hold a departure that is not stored.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
@@ -214,12 +221,12 @@
         host: node.host_id(),
         departed: instance.into(),
     };
-    let mut asks = ask_all(node, holders, &msg);
+    let mut asks = ask_all(&node.peers, holders, &msg, ASK_TIMEOUT);
     let mut held = 0;
     while held < needed
         && let Some(answer) = asks.join_next().await
     {
-        held += usize::from(matches!(answer, Ok(HolderAnswer::Records(_))));
+        held += usize::from(matches!(answer, Ok((_, HolderAnswer::Records(_)))));
     }
     held
 }
@@ -235,21 +242,24 @@
     Unknown,
 }
 
+/// Asks all of `hosts`, each of which has `limit` to answer.
 fn ask_all(
-    node: &Arc<Shared>,
+    peers: &Arc<PeerPool>,
     hosts: Vec<HostId>,
     msg: &DepartureMessage,
-) -> JoinSet<HolderAnswer> {
+    limit: Duration,
+) -> JoinSet<(HostId, HolderAnswer)> {
     let ask = |host| {
-        let (node, msg) = (Arc::clone(node), msg.clone());
+        let (peers, msg) = (Arc::clone(peers), msg.clone());
         async move {
-            let asking = message::ask(&node, host, DEPARTURES_PATH, &msg, ANSWER_MAX_BYTES);
-            match tokio::time::timeout(ASK_TIMEOUT, asking).await {
+            let asking = message::ask(&peers, host, DEPARTURES_PATH, &msg, ANSWER_MAX_BYTES);
+            let answer = match tokio::time::timeout(limit, asking).await {
                 Ok(Ok(body)) => serde_json::from_slice(&body)
                     .map_or(HolderAnswer::Nothing, HolderAnswer::Records),
                 Ok(Err(PeerError::Refused)) => HolderAnswer::Nothing,
                 Ok(Err(PeerError::NotSent | PeerError::Lost)) | Err(_) => HolderAnswer::Unknown,
-            }
+            };
+            (host, answer)
         }
     };
     hosts.into_iter().map(ask).collect()
@@ -271,18 +281,13 @@
     let mut rng = SmallRng::from_os_rng();
     let mut backoff = Backoff::new(LEARN_BACKOFF);
     loop {
-        let hosts = match read_stored(&node).await {
-            Ok(hosts) => Some(hosts),
-            Err(reason) => {
-                log::info!(reason = reason; "departures_not_read");
-                None
-            }
-        };
-        let is_stored_known = hosts.is_some();
-        let hosts = hosts.unwrap_or_else(|| other_nodes(&node));
-        let silent = learn_held(&node, hosts).await;
-        // Of those that hold a departure, one at least has answered.
-        if is_stored_known && silent.is_none() {
+        let stored = read_stored(&node).await;
+        let is_stored_known = stored.is_ok();
+        let hosts = stored.unwrap_or_else(|reason| {
+            log::info!(reason = reason; "departures_not_read");
+            other_nodes(&node)
+        });
+        if learn_held(&node, hosts).await && is_stored_known {
             break;
         }
         tokio::time::sleep(backoff.next_delay(&mut rng)).await;
@@ -302,21 +307,42 @@
     registration::read_nodes(node).await.map_err(reason)
 }
 
-/// Asks `hosts` for the departures that they hold; returns the number of silent ones if these may
-/// be all that hold one.
-async fn learn_held(node: &Arc<Shared>, hosts: Vec<HostId>) -> Option<usize> {
-    let asked = in_order(node.host_id(), hosts, ASKED_AT_START);
-    let enough = HOLDERS_MIN.min(asked.len());
+/// Asks `hosts` for the departures that they hold, the silent ones several times: after a loss of
+/// power all start at once. Returns `true` if one of those that hold a departure must have answered.
+async fn learn_held(node: &Arc<Shared>, hosts: Vec<HostId>) -> bool {
+    // Its connections are tried more often than those of requests.
+    let peers = Arc::new(PeerPool::new(node.clock));
+    let mut silent = in_order(node.host_id(), hosts, ASKED_AT_START);
+    let enough = HOLDERS_MIN.min(silent.len());
+    for round in 0..ROUNDS_AT_START {
+        let limit = ASK_TIMEOUT.min(FIRST_ASK_TIMEOUT * (round + 1));
+        silent = ask_for_held(node, &peers, silent, limit).await;
+        if silent.is_empty() || silent.len() < enough {
+            return true;
+        }
+        tokio::time::sleep(ROUND_PAUSE).await;
+    }
+    log::info!(nodes = silent.len(); "departures_not_answered");
+    false
+}
+
+/// Marks the departures that `hosts` hold; returns those that were silent.
+async fn ask_for_held(
+    node: &Arc<Shared>,
+    peers: &Arc<PeerPool>,
+    hosts: Vec<HostId>,
+    limit: Duration,
+) -> Vec<HostId> {
     let msg = DepartureMessage::List {
         host: node.host_id(),
     };
-    let mut silent = 0;
+    let mut silent = Vec::new();
     let mut held: Vec<Instance> = Vec::new();
-    for answer in ask_all(node, asked, &msg).join_all().await {
+    for (host, answer) in ask_all(peers, hosts, &msg, limit).join_all().await {
         match answer {
             HolderAnswer::Records(records) => held.extend(records.into_iter().map(Instance::from)),
             HolderAnswer::Nothing => {}
-            HolderAnswer::Unknown => silent += 1,
+            HolderAnswer::Unknown => silent.push(host),
         }
     }
     for instance in &held {
@@ -324,8 +350,5 @@
         begin(node, instance);
     }
     node.local.mark_departed(node, held);
-    if silent > 0 {
-        log::info!(nodes = silent; "departures_not_answered");
-    }
-    (silent > 0 && silent >= enough).then_some(silent)
+    silent
 }
--- a/crates/rhubarblanding_mesh/src/process/message.rs
+++ b/crates/rhubarblanding_mesh/src/process/message.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use super::shared::Shared;
-use crate::connection::PeerError;
+use crate::connection::{PeerError, PeerPool};
 
 /// Time after which a message counts as lost.
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
@@ -26,20 +26,20 @@
     });
 }
 
-/// Sends a message to the node on `to` and returns its answer, of at most `max_bytes`.
+/// Sends a message to the node on `to` over a connection of `peers` and returns its answer, of at most `max_bytes`.
 ///
 /// # Errors
 ///
 /// See [`PeerError`]; an answer that is too long counts as lost.
 pub(super) async fn ask(
-    node: &Shared,
+    peers: &PeerPool,
     to: HostId,
     path: &str,
     msg: &impl Serialize,
     max_bytes: usize,
 ) -> Result<Bytes, PeerError> {
     let req = build(to, path, msg).ok_or(PeerError::NotSent)?;
-    let resp = node.peers.send(to.0, req).await?;
+    let resp = peers.send(to.0, req).await?;
     let body = Limited::new(resp.into_body(), max_bytes).collect().await;
     body.map(Collected::to_bytes).map_err(|_| PeerError::Lost)
 }
--- a/crates/rhubarblanding_mesh/src/process/quota.rs
+++ b/crates/rhubarblanding_mesh/src/process/quota.rs
@@ -319,7 +319,7 @@
 }
 
 async fn post(node: &Shared, ask: &QuotaAsk) -> Result<Reply, Unanswered> {
-    let asked = message::ask(node, ask.to, QUOTA_PATH, &ask.msg, REPLY_MAX_BYTES).await;
+    let asked = message::ask(&node.peers, ask.to, QUOTA_PATH, &ask.msg, REPLY_MAX_BYTES).await;
     let body = asked.map_err(|e| match e {
         PeerError::Refused => Unanswered::Refused,
         PeerError::NotSent | PeerError::Lost => Unanswered::Silent,
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -87,7 +87,7 @@
     /// Quotas of client accounts.
     pub quotas: Quotas,
     /// Connections to other nodes.
-    pub peers: PeerPool,
+    pub peers: Arc<PeerPool>,
     /// Requests of this node that other nodes hold.
     pub hops: OpenHops,
     /// Connections of clients, other nodes and the platform.
@@ -153,7 +153,7 @@
             suspects: Suspects::default(),
             freshness: FreshnessState::default(),
             quotas,
-            peers: PeerPool::new(clock),
+            peers: Arc::new(PeerPool::new(clock)),
             hops: OpenHops::default(),
             connections: Connections::default(),
             store: StoreClient::with_codec(settings.store, protocol.store_codec()),
