Count a window's requests in the test of quotas at a start

Cause: it compared all requests of the test with the bound of one window; on a busy machine the test lasts longer than a window.

Change: it counts the arrivals at targets in each window of the bound's length, as the rule is stated.

--- a/crates/rhubarblanding_mesh/tests/mesh/quotas.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/quotas.rs
@@ -113,6 +113,18 @@
     assert_that!(asked.map(|status| status.as_u16()), some(eq(200)));
 }
 
+/// Largest number of requests that arrived at targets in a window of the bound.
+fn most_in_window(fleet: &Fleet) -> usize {
+    let hosts = fleet.hosts.iter();
+    let mut arrivals: Vec<_> = hosts.flat_map(|host| host.target.arrivals()).collect();
+    arrivals.sort_unstable();
+    let in_window = arrivals.iter().enumerate().map(|(i, first)| {
+        let end = *first + BOUND.window;
+        arrivals[i..].partition_point(|at| *at < end)
+    });
+    in_window.max().unwrap_or_default()
+}
+
 /// A node that had just started admitted requests without a charge, as it was not yet in the group
 /// that keeps quotas (QUOTA).
 #[tokio::test]
@@ -128,34 +140,23 @@
             requests.spawn(async move {
                 let headers = [("t-key", "k1")];
                 let id = format!("start-{i}");
-                let answer = fleet.request_with(0, "/once/x", &id, &headers).await;
-                answer.is_some_and(|(status, ..)| status.as_u16() == 200)
+                fleet.request_with(0, "/once/x", &id, &headers).await
             });
             tokio::time::sleep(Duration::from_millis(2)).await;
         }
-        requests
-            .join_all()
-            .await
-            .into_iter()
-            .filter(|ran| *ran)
-            .count()
+        requests.join_all().await
     };
     let at_others = async {
-        let mut ran = 0;
         for i in 0..HOT_PER_S {
             let headers = [("t-key", "k1")];
             let node = 1 + i as usize % (fleet.hosts.len() - 1);
             let id = format!("other-{i}");
             let answer = fleet.request_with(node, "/once/x", &id, &headers).await;
-            ran += usize::from(answer.expect("an answer").0.as_u16() == 200);
+            assert_that!(answer, some(anything()));
             tokio::time::sleep(BOUND.window / HOT_PER_S).await;
         }
-        ran
     };
-    let (at_started, at_others) = tokio::join!(at_started, at_others);
-    assert_that!(
-        (at_started + at_others) as f64,
-        le(BOUND.max_in_window(QUOTA)),
-        "{at_started} at the started node"
-    );
+    tokio::join!(at_started, at_others);
+    let most = most_in_window(&fleet) as f64;
+    assert_that!(most, all![gt(0.0), le(BOUND.max_in_window(QUOTA))]);
 }
--- a/crates/rhubarblanding_mesh/tests/mesh/target.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/target.rs
@@ -168,6 +168,11 @@
         lock(&self.recorded).ran.clone()
     }
 
+    /// Times at which requests arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.recorded).arrived.clone()
+    }
+
     /// Number of requests that arrived.
     pub fn arrived(&self) -> usize {
         lock(&self.recorded).arrived.len()
