Tell a silent key-value service from one that refuses, and count its calls

One text stands for a refusal, a lost connection and a call that was never answered, and nothing says how long a watch had waited or how old a node's knowledge is.

Change: watch_failed and watch_answered in place of free text, with the cause (status, transport error, no answer in time), the time waited and the newest revision seen; age_ms on refused_at_entry; counters of calls by kind, and of those without an answer.

--- a/crates/rhubarblanding_mesh/src/process/control.rs
+++ b/crates/rhubarblanding_mesh/src/process/control.rs
@@ -101,7 +101,7 @@
 
 /// Answers with the metrics in text form.
 pub async fn handle_metrics(node: Arc<Shared>) -> Response<Payload> {
-    let mut resp = Response::new(Payload::buffered(node.metrics.text().into()));
+    let mut resp = Response::new(Payload::buffered(node.metrics.text(&node.store).into()));
     let content_type =
         HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
     resp.headers_mut().insert(CONTENT_TYPE, content_type);
--- a/crates/rhubarblanding_mesh/src/process/events.rs
+++ b/crates/rhubarblanding_mesh/src/process/events.rs
@@ -54,6 +54,11 @@
     Peer,
 }
 
+/// Age of knowledge in milliseconds, -1 if there is none.
+pub(super) fn age_ms(age: Option<Duration>) -> i64 {
+    age.map_or(-1, |age| age.as_millis() as i64)
+}
+
 fn request_id_text(id: Option<&HeaderValue>) -> &str {
     id.and_then(|id| id.to_str().ok()).unwrap_or("-")
 }
@@ -70,7 +75,11 @@
         match stage {
             RefusalStage::AtEntry => {
                 let version = self.version().map_or(0, |version| version.number().0);
-                log::info!(id = id, reason:% = kind, version = version; "refused_at_entry");
+                let age_ms = age_ms(self.configuration_age());
+                log::info!(
+                    id = id, reason:% = kind, version = version, age_ms = age_ms;
+                    "refused_at_entry"
+                );
             }
             RefusalStage::AfterSelection {
                 service,
@@ -99,7 +108,7 @@
         self.metrics.refused(refusal.kind);
         log::info!(
             id = request_id_text(id), reason:% = refusal.kind, account = name.unwrap_or("-"),
-            version = version.0, age_ms = age.map_or(-1, |age| age.as_millis() as i64);
+            version = version.0, age_ms = age_ms(age);
             "client_account_refused"
         );
     }
--- a/crates/rhubarblanding_mesh/src/process/metrics.rs
+++ b/crates/rhubarblanding_mesh/src/process/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms of a process, and their text form.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http::StatusCode;
@@ -14,6 +14,8 @@
 use prometheus_client::registry::Registry;
 use rhubarblanding_admission::slots::{RequestRate, SlotInputs};
 use rhubarblanding_core::prelude::*;
+use rhubarblanding_store::StoreClient;
+use rhubarblanding_store::codec::CallKind;
 use strum::IntoEnumIterator;
 
 use crate::connection::AheadCounters;
@@ -41,6 +43,11 @@
     status: u16,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CallLabel {
+    call: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct AccountLabel {
     account: String,
@@ -100,6 +107,8 @@
     ahead: AheadCounters,
     account_rates: Family<AccountLabel, Gauge<f64, AtomicU64>>,
     slot_waits: WaitFamily,
+    store_calls: Family<CallLabel, Counter>,
+    store_calls_unanswered: Family<CallLabel, Counter>,
 }
 
 impl Default for Metrics {
@@ -174,6 +183,16 @@
         let slot_waits = WaitFamily::new_with_constructor(latency_histogram);
         let help = "Time for which admitted requests waited for a slot of the local target";
         registry.register("slot_wait_seconds", help, slot_waits.clone());
+        let store_calls = Family::default();
+        let help = "Calls of the key-value service";
+        registry.register("store_calls", help, store_calls.clone());
+        let store_calls_unanswered = Family::default();
+        let help = "Calls of the key-value service that got no answer";
+        registry.register(
+            "store_calls_unanswered",
+            help,
+            store_calls_unanswered.clone(),
+        );
         Self {
             registry,
             refusals,
@@ -190,6 +209,8 @@
             ahead,
             account_rates,
             slot_waits,
+            store_calls,
+            store_calls_unanswered,
         }
     }
 }
@@ -276,8 +297,18 @@
         }
     }
 
-    /// Returns all values in the OpenMetrics text format.
-    pub fn text(&self) -> String {
+    /// Returns all values in the OpenMetrics text format, with the calls that `store` has made.
+    pub fn text(&self, store: &StoreClient) -> String {
+        for kind in CallKind::iter() {
+            let label = CallLabel { call: kind.into() };
+            let calls = store.calls(kind);
+            let set = |family: &Family<CallLabel, Counter>, count| {
+                let counter = family.get_or_create(&label);
+                counter.inner().store(count, Ordering::Relaxed);
+            };
+            set(&self.store_calls, calls.made);
+            set(&self.store_calls_unanswered, calls.unanswered);
+        }
         let mut text = String::new();
         if let Err(e) = encode(&mut text, &self.registry) {
             log::warn!(reason:% = e; "metrics_not_written");
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -214,6 +214,12 @@
         true
     }
 
+    /// Returns the time since the active version was known to be the newest, `None` if it never was.
+    pub fn configuration_age(&self) -> Option<Duration> {
+        let known_at = self.freshness.known_at()?;
+        Some(self.clock.now().since(known_at))
+    }
+
     /// Returns a receiver that is notified of each newly active version.
     pub fn watch_version(&self) -> watch::Receiver<DocVersion> {
         self.version_changed.subscribe()
--- a/crates/rhubarblanding_store/src/client/mod.rs
+++ b/crates/rhubarblanding_store/src/client/mod.rs
@@ -1,5 +1,6 @@
 //! Single calls to the key-value service.
 
+mod counts;
 mod eras;
 mod transport;
 
@@ -10,16 +11,18 @@
 use bytes::Bytes;
 use error_stack::Report;
 
-use crate::codec::{Freshness, NativeCodec, StoreCall, StoreCodec, WireAnswer};
+use crate::codec::{CallKind, Freshness, NativeCodec, StoreCall, StoreCodec, WireAnswer};
 use crate::error::StoreError;
 use crate::key::Key;
 use crate::value::{
     CasOutcome, Era, Lease, LeaseId, ListEntry, Revision, VALUE_MAX_BYTES, Versioned, WatchOutcome,
 };
+use counts::CallCounts;
 use eras::Eras;
 use transport::Transport;
 
 pub use crate::codec::StoreResult;
+pub use counts::CallCount;
 
 /// Settings of a [`StoreClient`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +51,7 @@
     transport: Transport,
     codec: Arc<dyn StoreCodec>,
     eras: Arc<Eras>,
+    counts: Arc<CallCounts>,
 }
 
 impl StoreClient {
@@ -63,9 +67,15 @@
             transport: Transport::new(settings),
             codec,
             eras: Arc::default(),
+            counts: Arc::default(),
         }
     }
 
+    /// Returns the number of calls of one kind so far, those of all clones included.
+    pub fn calls(&self, kind: CallKind) -> CallCount {
+        self.counts.get(kind)
+    }
+
     /// Returns a receiver that is notified when the service has been restored from an older copy.
     pub fn watch_era(&self) -> tokio::sync::watch::Receiver<Era> {
         self.eras.subscribe()
@@ -222,7 +232,10 @@
         }
         let wire = self.codec.encode(&call);
         let effect = call.effect();
-        let received = self.transport.call(wire, effect, wait).await?;
+        let kind = CallKind::from(&call);
+        self.counts.begin(kind);
+        let received = self.transport.call(wire, effect, wait).await;
+        let received = received.inspect_err(|_| self.counts.fail(kind))?;
         let era = self.eras.observe(self.codec.era(&received.headers));
         let Some(era) = era else {
             // The state that it describes is lost.
--- a/crates/rhubarblanding_store/src/codec/mod.rs
+++ b/crates/rhubarblanding_store/src/codec/mod.rs
@@ -13,6 +13,8 @@
 use error_stack::Report;
 use http::{HeaderMap, Method, StatusCode};
 
+use strum::{EnumCount, EnumDiscriminants, EnumIter, IntoStaticStr};
+
 use crate::error::StoreError;
 use crate::key::Key;
 use crate::value::{CasOutcome, Era, Lease, LeaseId, ListPage, Revision, Versioned, WatchOutcome};
@@ -23,7 +25,13 @@
 pub type StoreResult<T> = Result<T, Report<StoreError>>;
 
 /// Call to the key-value service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, EnumDiscriminants)]
+#[strum_discriminants(
+    name(CallKind),
+    doc = "Kind of a call to the key-value service.",
+    derive(EnumCount, EnumIter, IntoStaticStr),
+    strum(serialize_all = "snake_case")
+)]
 pub enum StoreCall {
     /// Reads one key.
     Get {
--- a/crates/rhubarblanding_store/src/error.rs
+++ b/crates/rhubarblanding_store/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use error_stack::{AttachmentKind, FrameKind, Report};
 use strum::{EnumIter, IntoStaticStr};
 
 /// Reason for the failure of a call to the key-value service.
@@ -42,3 +43,14 @@
 }
 
 impl std::error::Error for StoreError {}
+
+/// Returns what is known of the cause of a failed call besides its kind, empty if nothing is.
+pub fn detail(report: &Report<StoreError>) -> String {
+    let texts = report.frames().filter_map(|frame| match frame.kind() {
+        FrameKind::Attachment(AttachmentKind::Printable(text)) => Some(text.to_string()),
+        FrameKind::Context(cause) if !frame.is::<StoreError>() => Some(cause.to_string()),
+        _ => None,
+    });
+    let texts: Vec<String> = texts.collect();
+    texts.join("; ")
+}
--- a/crates/rhubarblanding_store/src/watch/mod.rs
+++ b/crates/rhubarblanding_store/src/watch/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::backoff::{Backoff, BackoffSettings};
 use crate::client::{StoreClient, StoreResult};
-use crate::error::StoreError;
+use crate::error::{StoreError, detail};
 use crate::key::Key;
 use crate::value::{Era, Revision, Versioned, WatchOutcome};
 
@@ -108,7 +108,7 @@
                 Err(report) => {
                     // Changes may have been missed, and their history may have been dropped.
                     self.read_first = true;
-                    self.record_failure(&report.current_context().to_string());
+                    self.record_failure(&report, began_at);
                 }
             }
             self.pause(began_at).await;
@@ -170,14 +170,20 @@
     fn record_answer(&mut self) {
         if !self.reachable {
             self.reachable = true;
-            log::info!("watch of {}: the key-value service answers again", self.key);
+            log::info!(key:% = self.key; "watch_answered");
         }
     }
 
-    fn record_failure(&mut self, reason: &str) {
+    fn record_failure(&mut self, report: &Report<StoreError>, began_at: Instant) {
         if self.reachable {
             self.reachable = false;
-            log::warn!("watch of {}: {reason}", self.key);
+            let reason: &'static str = report.current_context().into();
+            let waited_ms = began_at.elapsed().as_millis() as u64;
+            log::warn!(
+                key:% = self.key, reason = reason, detail = detail(report), waited_ms = waited_ms,
+                revision = self.after.number();
+                "watch_failed"
+            );
         }
     }
 }
