Know how old the configuration is, and renew that before it hides a change

What callers saw: a version that operators had confirmed was in force at no node for longer than the bound; new routes were refused with 404 and old services ran.

Cause: a node took its configuration for the newest one until a watch said otherwise, and a watch waits for up to 31 s on a connection that may never be answered. Other nodes pass a version on, but with all watches in that state nobody has it. The age of the knowledge was kept for client keys only.

Change: each node keeps the time at which its version was known to be the newest, whatever the configuration holds. Three nodes of a fleet read the key-value service each second, the others ask along and substitutes take over, as for keys before. A node that hears of a newer version in an answer asks for it at once. A watch is begun anew when another call got no answer, or when it has not yielded a version that is in force for a second. While the watch fails its own attempts are the reads. A route that no version known here has is refused with 503 and a retry while the knowledge is older than the bound, and with 404 otherwise.

Why it works: whatever becomes of connections, each belief in the configuration has an age, and a node whose age grows asks first nodes, then the service, each call with a limit of its own.

--- a/crates/rhubarblanding_accounts/src/freshness/mod.rs
+++ b/crates/rhubarblanding_accounts/src/freshness/mod.rs
@@ -1,9 +1,9 @@
 //! How long ago a version of the configuration was known to be the newest one.
 //!
-//! A node that was cut off does not learn that a key was withdrawn. So each node keeps the time up to
-//! which no version newer than its own was in force, and admits keys only for a while after it. It
-//! learns that time from the key-value service or from another node, always as the answer to a
-//! question, and counts from the moment at which the question was sent.
+//! A node that hears nothing cannot tell an unchanged configuration from news that do not arrive. So
+//! each node keeps the time up to which no version newer than its own was in force, and renews it by
+//! questions before it grows old. It learns that time from the key-value service or from another node,
+//! always as the answer to a question, and counts from the moment at which the question was sent.
 
 mod word;
 
@@ -124,8 +124,22 @@
     }
 
     /// Decides on the next renewal. `rank` is the node's position in an order of all nodes on which
-    /// they agree; the first ones read the key-value service.
-    pub fn renewal(&mut self, now: MonoTime, rank: usize) -> Renewal {
+    /// they agree; the first ones read the key-value service. It is `None` while the node cannot.
+    pub fn renewal(&mut self, now: MonoTime, rank: Option<usize>) -> Renewal {
+        if rank.is_some_and(|rank| self.is_read_due(now, rank)) {
+            self.read_at = Some(now);
+            return Renewal::Read;
+        }
+        let is_asked = self.asked_at.is_some_and(|at| now.since(at) < ASK_INTERVAL);
+        let is_old = self.age(now).is_none_or(|age| age >= ASK_AGE);
+        if is_old && !is_asked {
+            self.asked_at = Some(now);
+            return Renewal::Ask;
+        }
+        Renewal::None
+    }
+
+    fn is_read_due(&self, now: MonoTime, rank: usize) -> bool {
         let age = self.age(now).unwrap_or(now.since(MonoTime::ZERO));
         let is_past = |at: Option<MonoTime>, time| at.is_none_or(|at| now.since(at) >= time);
         let is_alone = is_past(self.heard_at, ALONE_AFTER);
@@ -139,15 +153,6 @@
         // The readers of a fleet that starts as one take turns.
         let turn = READ_INTERVAL * rank.min(READERS) as u32 / READERS as u32;
         let is_turn = self.read_at.is_some() || now.since(MonoTime::ZERO) >= turn;
-        if is_turn && age >= read_age && is_past(self.read_at, interval) {
-            self.read_at = Some(now);
-            return Renewal::Read;
-        }
-        let is_old = self.age(now).is_none_or(|age| age >= ASK_AGE);
-        if is_old && is_past(self.asked_at, ASK_INTERVAL) {
-            self.asked_at = Some(now);
-            return Renewal::Ask;
-        }
-        Renewal::None
+        is_turn && age >= read_age && is_past(self.read_at, interval)
     }
 }
--- a/crates/rhubarblanding_accounts/tests/freshness.rs
+++ b/crates/rhubarblanding_accounts/tests/freshness.rs
@@ -260,7 +260,7 @@
             let document = Msg::Document(self.nodes[i].active);
             self.send(Some(i), Some(to), document);
         }
-        match self.nodes[i].freshness.renewal(now, i) {
+        match self.nodes[i].freshness.renewal(now, Some(i)) {
             Renewal::None => {}
             Renewal::Read => {
                 self.reads += 1;
--- a/crates/rhubarblanding_core/src/error.rs
+++ b/crates/rhubarblanding_core/src/error.rs
@@ -120,6 +120,9 @@
     CrashesTargets => 503, NotRun, After, "refused.crashes_targets", "Requests with this content crashed several backend servers.";
     /// The node has not read a configuration yet.
     NoConfiguration => 503, NotRun, After, "refused.no_configuration", "The node has no configuration yet.";
+    /// No route of the active version matches host and path, but the node does not know whether that
+    /// version is the newest.
+    ConfigurationOutdated => 503, NotRun, After, "refused.configuration_outdated", "The node's configuration may be outdated.";
     /// The body is larger than allowed for its kind.
     BodyTooLarge => 413, NotRun, Never, "refused.body_too_large", "The request body is too large.";
     /// The target's node sheds load of this priority.
--- a/crates/rhubarblanding_membership/src/io.rs
+++ b/crates/rhubarblanding_membership/src/io.rs
@@ -29,6 +29,13 @@
     Seeds(Vec<HostId>),
     /// The operators' document, or its changed parts, read from the key-value service.
     Document(Document),
+    /// A peer holds this version of the operators' document.
+    PeerDocument {
+        /// The peer.
+        from: HostId,
+        /// Version that the peer holds.
+        version: DocVersion,
+    },
     /// A timer may be due.
     Tick,
 }
--- a/crates/rhubarblanding_membership/src/membership/mod.rs
+++ b/crates/rhubarblanding_membership/src/membership/mod.rs
@@ -173,6 +173,9 @@
             Input::Lookup(service) => self.on_lookup_input(&mut cx, service),
             Input::Seeds(hosts) => self.on_seeds(&mut cx, hosts),
             Input::Document(document) => self.on_document_read(&mut cx, document),
+            Input::PeerDocument { from, version } => {
+                self.check_document_version(&mut cx, from, version);
+            }
             Input::Tick => self.on_tick(&mut cx),
         }
         cx.out
--- a/crates/rhubarblanding_mesh/src/process/configuration.rs
+++ b/crates/rhubarblanding_mesh/src/process/configuration.rs
@@ -10,13 +10,18 @@
 use rhubarblanding_routing::table::{Advice, ConfigurationError};
 use rhubarblanding_store::backoff::BackoffSettings;
 use rhubarblanding_store::watch::{WatchEvent, WatchLoop, WatchSettings};
+use tokio::sync::watch;
 
 use super::shared::Shared;
 use crate::version::Version;
 
 /// Time that one watch waits at the service: the maximum that it allows. Each watch counts as a
-/// call; dead connections are detected by TCP keep-alive.
+/// call. It is the fastest way to a new version and no proof that there is none: that is the
+/// [freshness](super::freshness) of the active version.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// Time for the watch to yield a version that is active already. After that its connection counts as
+/// dead.
+const WATCH_LAG_MAX: Duration = Duration::from_secs(1);
 /// Maximum of the first delay after a failed watch; most failures are chance interruptions.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 /// Maximum delay between attempts while the service fails: a configuration must be active within
@@ -37,11 +42,24 @@
     let key = node.protocol.configuration_key();
     let seed = rand::rng().random();
     let mut watch = WatchLoop::new(node.store.clone(), key, settings, seed);
+    node.freshness.follow_watch(watch.watch_reachable());
+    let mut versions = node.watch_version();
+    let mut seen = DocVersion::default();
     loop {
-        match watch.next().await {
+        let event = tokio::select! {
+            event = watch.next() => event,
+            version = overtaken(&mut versions, seen) => {
+                log::warn!(version = version.0; "watch_missed_change");
+                watch.restart();
+                seen = version;
+                continue;
+            }
+        };
+        match event {
             WatchEvent::Changed(new) => {
                 if let Some(version) = adopt_from_store(&node, &new.value) {
                     node.freshness.learn_since_start(&node, version);
+                    seen = seen.max(version);
                 }
             }
             WatchEvent::Removed(revision) => {
@@ -51,6 +69,15 @@
     }
 }
 
+/// Waits until a version above `seen`, which came another way, was active for the time in which the
+/// watch should have yielded it; returns the active version.
+async fn overtaken(versions: &mut watch::Receiver<DocVersion>, seen: DocVersion) -> DocVersion {
+    // The sender exists as long as the node.
+    let _ = versions.wait_for(|active| *active > seen).await;
+    tokio::time::sleep(WATCH_LAG_MAX).await;
+    *versions.borrow()
+}
+
 /// Adopts the configuration read from the key-value service, and passes it on to other nodes; returns
 /// its version, also if it is not newer than the active one.
 pub(super) fn adopt_from_store(node: &Shared, value: &[u8]) -> Option<DocVersion> {
--- a/crates/rhubarblanding_mesh/src/process/freshness.rs
+++ b/crates/rhubarblanding_mesh/src/process/freshness.rs
@@ -13,11 +13,14 @@
 use rhubarblanding_accounts::freshness::{Freshness, READERS, Renewal, Word};
 use rhubarblanding_core::collections::stable_hash;
 use rhubarblanding_core::prelude::*;
+use rhubarblanding_membership::prelude::Input;
 use rhubarblanding_node::process::parking::{Mutex, lock};
 use rhubarblanding_store::client::StoreResult;
 use rhubarblanding_store::{Revision, StoreError, WatchOutcome};
+use tokio::sync::watch;
 
 use super::configuration;
+use super::events::age_ms;
 use super::member::other_nodes;
 use super::shared::Shared;
 use crate::request::FRESHNESS_PATH;
@@ -30,8 +33,6 @@
 
 /// Interval at which a node checks whether its knowledge is to be renewed. It is added to the age.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval of that check while the configuration needs none.
-const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a question counts as lost.
 const ASK_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time between two determinations of the nodes that read the key-value service.
@@ -47,6 +48,9 @@
     /// version that it holds.
     position: Mutex<Option<(Revision, DocVersion)>>,
     is_reading: AtomicBool,
+    /// Whether the watch of the configuration is answered, once there is one. While it is not, it
+    /// reads the key again and again.
+    watch_reachable: Mutex<Option<watch::Receiver<bool>>>,
 }
 
 impl FreshnessState {
@@ -55,6 +59,19 @@
         lock(&self.knowledge).known_at()
     }
 
+    /// Sets the watch of the configuration, by whether its last call was answered.
+    pub(super) fn follow_watch(&self, reachable: watch::Receiver<bool>) {
+        *lock(&self.watch_reachable) = Some(reachable);
+    }
+
+    /// Returns `true` if reads are of use: while the watch fails, its own attempts are enough.
+    fn can_read(&self) -> bool {
+        let reachable = lock(&self.watch_reachable);
+        reachable
+            .as_ref()
+            .is_none_or(|reachable| *reachable.borrow())
+    }
+
     /// Records that some read by this process returned `version`. It was sent after the process
     /// started, which suffices for a node that has just started.
     pub(super) fn learn_since_start(&self, node: &Shared, version: DocVersion) {
@@ -68,7 +85,7 @@
 }
 
 /// Returns `true` if keys may only be admitted on fresh knowledge.
-fn is_needed(node: &Shared) -> bool {
+fn limits_keys(node: &Shared) -> bool {
     let has_bound = node.settings().accounts.withdrawal.is_some();
     has_bound
         && node
@@ -79,9 +96,6 @@
 /// Asks the receiver of a request between nodes for its word if this node's knowledge grows old;
 /// returns the time from which its answer counts.
 pub(crate) fn ask_along(node: &Shared, headers: &mut HeaderMap) -> Option<MonoTime> {
-    if !is_needed(node) {
-        return None;
-    }
     let now = node.clock.now();
     if !lock(&node.freshness.knowledge).asks_along(now) {
         return None;
@@ -90,15 +104,24 @@
     Some(now)
 }
 
-/// Removes another node's word from its answer, and applies it if it was asked for at `asked_at`.
-pub(crate) fn learn(node: &Shared, headers: &mut HeaderMap, asked_at: Option<MonoTime>) {
+/// Removes the word of the node on `from` from its answer, and applies it if it was asked for at
+/// `asked_at`.
+pub(crate) fn learn(
+    node: &Shared,
+    from: HostId,
+    headers: &mut HeaderMap,
+    asked_at: Option<MonoTime>,
+) {
     let word = headers.remove(FRESHNESS_HEADER);
     let Some(asked_at) = asked_at else {
         return;
     };
     let word = word.and_then(|value| Word::try_from(value.to_str().ok()?).ok());
-    let now = node.clock.now();
-    lock(&node.freshness.knowledge).learn_word(active(node), (asked_at, now), word);
+    let (now, active) = (node.clock.now(), active(node));
+    lock(&node.freshness.knowledge).learn_word(active, (asked_at, now), word);
+    if let Some(Word { version, .. }) = word.filter(|word| word.version > active) {
+        node.member_input(Input::PeerDocument { from, version });
+    }
 }
 
 /// Returns the answer to another node's question, if there is one.
@@ -111,17 +134,17 @@
 pub async fn renew(node: Arc<Shared>) {
     let mut rng = SmallRng::from_os_rng();
     let mut order = Order::default();
-    let mut was_outdated = false;
+    let mut reported = Reported::default();
     let mut versions = node.watch_version();
+    // The sender exists as long as this node.
+    let _ = versions
+        .wait_for(|version| *version != DocVersion::default())
+        .await;
     loop {
-        if !is_needed(&node) {
-            // A node that has just started serves as soon as it can.
-            let _ = tokio::time::timeout(IDLE_INTERVAL, versions.changed()).await;
-            continue;
-        }
         let now = node.clock.now();
         order.update(&node, now);
-        let renewal = lock(&node.freshness.knowledge).renewal(now, order.rank);
+        let rank = node.freshness.can_read().then_some(order.rank);
+        let renewal = lock(&node.freshness.knowledge).renewal(now, rank);
         match renewal {
             Renewal::None => {}
             Renewal::Read => spawn_read(&node),
@@ -131,25 +154,47 @@
                 }
             }
         }
-        report(&node, now, &mut was_outdated);
+        reported.update(&node);
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
 
-/// Shows the age of the knowledge; logs when it becomes too old to admit keys, and when it is renewed.
-fn report(node: &Shared, now: MonoTime, was_outdated: &mut bool) {
-    let age = node.freshness.known_at().map(|at| now.since(at));
-    node.metrics.set_accounts_age(age);
-    let bound = node.settings().accounts.withdrawal.unwrap_or(Duration::MAX);
-    let is_outdated = age.is_none_or(|age| age >= bound);
-    if std::mem::replace(was_outdated, is_outdated) == is_outdated {
-        return;
-    }
-    let version = active(node).0;
-    let age_ms = age.map_or(-1, |age| age.as_millis() as i64);
-    match is_outdated {
-        true => log::warn!(version = version, age_ms = age_ms; "accounts_outdated"),
-        false => log::info!(version = version, age_ms = age_ms; "accounts_current"),
+/// What was last logged of the age of the knowledge.
+#[derive(Debug, Default)]
+struct Reported {
+    is_outdated: bool,
+    are_accounts_outdated: bool,
+}
+
+impl Reported {
+    /// Shows the age of the knowledge; logs when it becomes too old, and when it is renewed.
+    fn update(&mut self, node: &Shared) {
+        let age = node.configuration_age();
+        let bounds = node.settings().accounts;
+        let version = active(node).0;
+        node.metrics.set_configuration_age(age);
+        let is_old = |limit| age.is_none_or(|age| age >= limit);
+        let is_outdated = is_old(bounds.adoption);
+        if std::mem::replace(&mut self.is_outdated, is_outdated) != is_outdated {
+            match is_outdated {
+                true => {
+                    log::warn!(version = version, age_ms = age_ms(age); "configuration_outdated")
+                }
+                false => {
+                    log::info!(version = version, age_ms = age_ms(age); "configuration_current")
+                }
+            }
+        }
+        let limit = bounds.withdrawal.filter(|_| limits_keys(node));
+        node.metrics
+            .set_accounts_age(age.filter(|_| limit.is_some()));
+        let is_outdated = limit.is_some_and(is_old);
+        if std::mem::replace(&mut self.are_accounts_outdated, is_outdated) != is_outdated {
+            match is_outdated {
+                true => log::warn!(version = version, age_ms = age_ms(age); "accounts_outdated"),
+                false => log::info!(version = version, age_ms = age_ms(age); "accounts_current"),
+            }
+        }
     }
 }
 
@@ -208,7 +253,7 @@
     let asked_at = node.clock.now();
     let answer = tokio::time::timeout(ASK_TIMEOUT, node.peers.send(to.0, req));
     if let Ok(Ok(mut resp)) = answer.await {
-        learn(&node, resp.headers_mut(), Some(asked_at));
+        learn(&node, to, resp.headers_mut(), Some(asked_at));
     }
 }
 
@@ -226,7 +271,9 @@
                 lock(&node.freshness.knowledge).learn_read(active, sent_at, version);
             }
             Ok(None) => {}
-            Err(report) => log::info!(reason:% = report.current_context(); "accounts_not_read"),
+            Err(report) => {
+                log::info!(reason:% = report.current_context(); "configuration_not_read");
+            }
         }
         node.freshness.is_reading.store(false, Ordering::Relaxed);
     });
--- a/crates/rhubarblanding_mesh/src/process/metrics.rs
+++ b/crates/rhubarblanding_mesh/src/process/metrics.rs
@@ -25,7 +25,7 @@
     0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
 ];
 
-/// Value of the gauge of the age of client accounts while it is not known.
+/// Value of a gauge of an age while it is not known.
 const NO_AGE: f64 = -1.0;
 /// Largest rank that has a label of its own, so that the number of series is bounded.
 const RANK_LABEL_MAX: u8 = 9;
@@ -104,6 +104,7 @@
     target_rate: Gauge<f64, AtomicU64>,
     lost_in_crash: Counter,
     accounts_age: Gauge<f64, AtomicU64>,
+    configuration_age: Gauge<f64, AtomicU64>,
     ahead: AheadCounters,
     account_rates: Family<AccountLabel, Gauge<f64, AtomicU64>>,
     slot_waits: WaitFamily,
@@ -172,6 +173,11 @@
         let help =
             "Seconds since the active client accounts were known to be the newest; -1 if unknown";
         registry.register("accounts_age_seconds", help, accounts_age.clone());
+        let configuration_age = Gauge::<f64, AtomicU64>::default();
+        configuration_age.set(NO_AGE);
+        let help =
+            "Seconds since the active configuration was known to be the newest; -1 if unknown";
+        registry.register("configuration_age_seconds", help, configuration_age.clone());
         let ahead = AheadCounters::default();
         let help = "Requests started before an earlier one of their connection was answered";
         registry.register("requests_ahead", help, ahead.requests.clone());
@@ -206,6 +212,7 @@
             target_rate,
             lost_in_crash,
             accounts_age,
+            configuration_age,
             ahead,
             account_rates,
             slot_waits,
@@ -229,6 +236,12 @@
             .set(age.map_or(NO_AGE, |age| age.as_secs_f64()));
     }
 
+    /// Sets the age of the knowledge that the active configuration is the newest.
+    pub fn set_configuration_age(&self, age: Option<Duration>) {
+        self.configuration_age
+            .set(age.map_or(NO_AGE, |age| age.as_secs_f64()));
+    }
+
     /// Counts an answer of a target.
     pub fn answered(&self, status: StatusCode, took: Duration) {
         let status = status.as_u16();
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -22,8 +22,8 @@
 use crate::process::{RefusalStage, STOPPING_RETRY_AFTER, Shared};
 use crate::version::ChosenRoute;
 
-/// `Retry-After` while this node has no configuration or no target for the service: both usually
-/// last a second or two.
+/// `Retry-After` while this node has no configuration or an outdated one, or no target for the
+/// service: each usually lasts a second or two.
 pub(super) const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` for a route with a fault, which lasts until the operators write a new version.
 const UNUSABLE_ROUTE_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -116,6 +116,11 @@
         .to_owned();
     let route = match ChosenRoute::find(&version, &host, parts.uri.path()) {
         Ok(route) => route,
+        // A newer version may have the route.
+        Err(ErrorKind::UnknownRoute) if is_outdated(node) => {
+            let kind = ErrorKind::ConfigurationOutdated;
+            return Err(reject(kind, Some(NOT_READY_RETRY_AFTER)));
+        }
         Err(kind) => {
             let retry = (kind == ErrorKind::UnusableRoute).then_some(UNUSABLE_ROUTE_RETRY_AFTER);
             return Err(reject(kind, retry));
@@ -204,6 +209,13 @@
     })
 }
 
+/// Returns `true` if a version newer than the active one may be in force for longer than nodes in
+/// touch take to adopt it.
+fn is_outdated(node: &Shared) -> bool {
+    let limit = node.settings().accounts.adoption;
+    node.configuration_age().is_none_or(|age| age >= limit)
+}
+
 fn host_of<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> Option<&'a str> {
     uri.authority()
         .map(|authority| authority.as_str())
--- a/crates/rhubarblanding_mesh/src/request/forward.rs
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -32,7 +32,7 @@
     let _open = id.map(|id| node.hops.begin(host, id.clone()));
     match node.peers.send(host.0, req).await {
         Ok(mut resp) => {
-            learn(node, resp.headers_mut(), asked_at);
+            learn(node, host, resp.headers_mut(), asked_at);
             receive(resp, limit).await
         }
         Err(PeerError::NotSent | PeerError::Refused) => {
--- a/crates/rhubarblanding_mesh/tests/mesh/store.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/store.rs
@@ -124,3 +124,25 @@
     assert_that!(fleet.stored("mesh/departed/").await, eq(2));
     assert_that!(fleet.stored("mesh/nodes/").await, eq(3));
 }
+
+/// A node that may have missed a version does not claim that a route does not exist.
+#[tokio::test]
+async fn unknown_route_is_refused_for_good_on_fresh_knowledge_only() {
+    let fleet = fleet().await;
+    let status = async |id: &str| {
+        let answer = fleet.request(0, "/later/x", id).await;
+        let (status, headers, _) = answer.expect("an answer");
+        (status.as_u16(), headers.contains_key("retry-after"))
+    };
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_that!(status("r1").await, eq((404, false)));
+    fleet.store.set_faults(Faults {
+        outage: true,
+        ..Faults::default()
+    });
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_that!(status("r2").await, eq((503, true)));
+    fleet.store.set_faults(Faults::default());
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_that!(status("r3").await, eq((404, false)));
+}
--- a/crates/rhubarblanding_store/src/client/mod.rs
+++ b/crates/rhubarblanding_store/src/client/mod.rs
@@ -52,6 +52,7 @@
     codec: Arc<dyn StoreCodec>,
     eras: Arc<Eras>,
     counts: Arc<CallCounts>,
+    losses: Arc<tokio::sync::watch::Sender<()>>,
 }
 
 impl StoreClient {
@@ -68,6 +69,7 @@
             codec,
             eras: Arc::default(),
             counts: Arc::default(),
+            losses: Arc::default(),
         }
     }
 
@@ -81,6 +83,11 @@
         self.eras.subscribe()
     }
 
+    /// Returns a receiver that is notified of each call without an answer, other than watches.
+    pub fn watch_losses(&self) -> tokio::sync::watch::Receiver<()> {
+        self.losses.subscribe()
+    }
+
     /// Reads the value of `key`, `None` if it has none.
     ///
     /// # Errors
@@ -235,7 +242,7 @@
         let kind = CallKind::from(&call);
         self.counts.begin(kind);
         let received = self.transport.call(wire, effect, wait).await;
-        let received = received.inspect_err(|_| self.counts.fail(kind))?;
+        let received = received.inspect_err(|_| self.record_loss(kind))?;
         let era = self.eras.observe(self.codec.era(&received.headers));
         let Some(era) = era else {
             // The state that it describes is lost.
@@ -253,4 +260,11 @@
             body: received.body,
         })
     }
+
+    fn record_loss(&self, kind: CallKind) {
+        self.counts.fail(kind);
+        if kind != CallKind::Watch {
+            self.losses.send_replace(());
+        }
+    }
 }
--- a/crates/rhubarblanding_store/src/watch/mod.rs
+++ b/crates/rhubarblanding_store/src/watch/mod.rs
@@ -18,7 +18,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WatchSettings {
     /// Time that one watch call waits at the service, where it counts as one call. A dead
-    /// connection is detected after this time plus the time limit of a call.
+    /// connection is detected after this time plus the time limit of a call, or when another call
+    /// of the same client gets no answer.
     pub wait: Duration,
     /// Delays between attempts while the service fails.
     pub backoff: BackoffSettings,
@@ -49,6 +50,8 @@
 pub struct WatchLoop {
     client: StoreClient,
     era: watch::Receiver<Era>,
+    /// Calls of the client that got no answer.
+    losses: watch::Receiver<()>,
     key: Key,
     settings: WatchSettings,
     rng: SmallRng,
@@ -58,7 +61,7 @@
     /// Revision of the service up to which changes are known.
     position: Revision,
     read_first: bool,
-    reachable: bool,
+    reachable: watch::Sender<bool>,
 }
 
 impl WatchLoop {
@@ -66,6 +69,7 @@
     pub fn new(client: StoreClient, key: Key, settings: WatchSettings, seed: u64) -> Self {
         Self {
             era: client.watch_era(),
+            losses: client.watch_losses(),
             client,
             key,
             settings,
@@ -74,13 +78,24 @@
             after: Revision::ABSENT,
             position: Revision::ABSENT,
             read_first: true,
-            reachable: true,
+            reachable: watch::Sender::new(true),
         }
     }
 
     /// Returns `true` if the last call was answered.
     pub fn is_reachable(&self) -> bool {
-        self.reachable
+        *self.reachable.borrow()
+    }
+
+    /// Returns a receiver of whether the last call was answered.
+    pub fn watch_reachable(&self) -> watch::Receiver<bool> {
+        self.reachable.subscribe()
+    }
+
+    /// Has the next call read the key. A watch that waits on a dead connection is to be dropped
+    /// before.
+    pub fn restart(&mut self) {
+        self.read_first = true;
     }
 
     /// Waits for the next event, retrying after any number of failures.
@@ -90,13 +105,19 @@
     pub async fn next(&mut self) -> WatchEvent {
         loop {
             let began_at = Instant::now();
-            let mut era = self.era.clone();
+            let (mut era, mut losses) = (self.era.clone(), self.losses.clone());
+            let is_waiting = !self.read_first;
             let result = tokio::select! {
                 result = self.call() => result,
                 // A waiting watch may never learn that its position is of an earlier era.
                 Ok(()) = era.changed() => Err(Report::new(StoreError::EraChanged)),
+                // Its own connection may be dead too.
+                Ok(()) = losses.changed(), if is_waiting => {
+                    Err(Report::new(StoreError::Unavailable).attach("another call got no answer"))
+                }
             };
             self.era.mark_unchanged();
+            self.losses.mark_unchanged();
             match result {
                 Ok(watched) => {
                     self.record_answer();
@@ -141,7 +162,7 @@
     /// or answers at once without a change must not be called in a tight loop.
     async fn pause(&mut self, began_at: Instant) {
         let min_wait = (self.settings.wait / 2).max(self.settings.backoff.first);
-        if self.reachable && began_at.elapsed() >= min_wait {
+        if self.is_reachable() && began_at.elapsed() >= min_wait {
             self.backoff.reset();
             return;
         }
@@ -168,15 +189,13 @@
     }
 
     fn record_answer(&mut self) {
-        if !self.reachable {
-            self.reachable = true;
+        if !self.reachable.send_replace(true) {
             log::info!(key:% = self.key; "watch_answered");
         }
     }
 
     fn record_failure(&mut self, report: &Report<StoreError>, began_at: Instant) {
-        if self.reachable {
-            self.reachable = false;
+        if self.reachable.send_replace(false) {
             let reason: &'static str = report.current_context().into();
             let waited_ms = began_at.elapsed().as_millis() as u64;
             log::warn!(
--- a/crates/rhubarblanding_store/tests/watch_loop.rs
+++ b/crates/rhubarblanding_store/tests/watch_loop.rs
@@ -168,3 +168,55 @@
     let next = tokio::time::timeout(Duration::from_secs(2), watch.next()).await;
     assert_that!(next.map(value_of), ok(eq("2")));
 }
+
+/// Waits of a watch that only another way than its own end can cut short.
+const LONG: WatchSettings = WatchSettings {
+    wait: Duration::from_secs(30),
+    backoff: BACKOFF,
+};
+
+/// Starts a watch that waits on a connection on which nothing arrives any more, while a value is
+/// stored. The key-value service waits for watches, and it answers on new connections.
+async fn silent_watch() -> (StoreServer, StoreClient, WatchLoop) {
+    let (server, client, mut watch) = start_watch(LONG).await;
+    store(&client, 0, "one").await;
+    assert_that!(value_of(watch.next().await).as_str(), eq("one"));
+    let waited = tokio::time::timeout(Duration::from_millis(100), watch.next()).await;
+    assert_that!(waited, err(anything()));
+    (server, client, watch)
+}
+
+/// A call without an answer shows that the connection of a waiting watch may be dead too.
+#[tokio::test]
+async fn loop_reads_when_another_call_gets_no_answer() {
+    let (server, client, mut watch) = silent_watch().await;
+    let waiting = tokio::spawn(async move { value_of(watch.next().await) });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    // Leaves an idle connection for the next call.
+    assert_that!(client.get(&key()).await.is_ok(), eq(true));
+    server.silence_connections();
+    let fresh = StoreClient::new(StoreSettings {
+        addr: server.addr(),
+        ..StoreSettings::default()
+    });
+    store(&fresh, 1, "two").await;
+    let began = Instant::now();
+    assert_that!(client.get(&key()).await.is_err(), eq(true));
+    assert_that!(waiting.await.expect("no panic").as_str(), eq("two"));
+    // The limit of the call, and a read.
+    assert_that!(began.elapsed(), lt(Duration::from_millis(1_500)));
+}
+
+#[tokio::test]
+async fn restarted_loop_reads_what_its_watch_missed() {
+    let (server, _client, mut watch) = silent_watch().await;
+    server.silence_connections();
+    let fresh = StoreClient::new(StoreSettings {
+        addr: server.addr(),
+        ..StoreSettings::default()
+    });
+    store(&fresh, 1, "two").await;
+    watch.restart();
+    let next = tokio::time::timeout(Duration::from_millis(1_500), watch.next()).await;
+    assert_that!(value_of(next.expect("in time")).as_str(), eq("two"));
+}
