Take late in a stop only what is expected to end in time

What callers saw: in a planned stop in calm, orders that other nodes sent to a stopping one up to 4.0 s after its signal, and calls made there until its end, were passed on with less time than their work takes; they ended with 504 when the process did, though they ran and must not run twice (reported by operators of a similar system).

What takes longer than the time that is left, by less than twice, was still started. The soak's requests have deadlines below 0.8 s and never reach the end.

Change: from 2.9 s after the signal a request of another node, a call or a further attempt is sent to a target only if the longest time that its kind took lately is left, at its entry as well as beside the target and when its slot is free; else it is refused as not run. A client's request whose body was read until then is refused too.

--- a/crates/rhubarblanding_admission/src/slots/estimate.rs
+++ b/crates/rhubarblanding_admission/src/slots/estimate.rs
@@ -80,12 +80,37 @@
     }
 }
 
+/// Factor by which each sample lowers a longest time that it does not reach: one of hundreds of
+/// samples is remembered.
+const LONGEST_DECAY: f64 = 0.995;
+
+/// Longest times that requests of each kind took lately. They do not shrink with age, as a seldom kind
+/// must not pass for a quick one.
+#[derive(Clone, Debug, Default)]
+pub struct LongestTimes {
+    by_kind: HashMap<KindKey, Duration>,
+}
+
+impl LongestTimes {
+    /// Records the time that a request took.
+    pub fn record(&mut self, kind: KindKey, took: Duration) {
+        let longest = self.by_kind.entry(kind).or_default();
+        *longest = took.max(longest.mul_f64(LONGEST_DECAY));
+    }
+
+    /// Returns the longest time of a kind; `None` before the first one was recorded.
+    pub fn get(&self, kind: KindKey) -> Option<Duration> {
+        self.by_kind.get(&kind).copied()
+    }
+}
+
 /// Averages of the time that requests hold a slot.
 #[derive(Clone, Debug, Default)]
 pub(super) struct HoldTimes {
     by_kind: HashMap<KindKey, Average>,
     overall: Option<Average>,
     recent: HashMap<KindKey, Recent>,
+    longest: LongestTimes,
 }
 
 impl HoldTimes {
@@ -96,6 +121,7 @@
         let recent = self.recent.get(&kind).copied();
         let recent = Recent::record(recent, now, sample);
         self.recent.insert(kind, recent);
+        self.longest.record(kind, held);
         self.overall = Some(Average::record(self.overall, now, sample));
     }
 
@@ -109,6 +135,10 @@
         self.recent.get(&kind)?.mean(now)
     }
 
+    pub(super) fn longest(&self, kind: KindKey) -> Option<Duration> {
+        self.longest.get(kind)
+    }
+
     pub(super) fn overall(&self, now: MonoTime) -> Duration {
         self.overall.map_or(INITIAL, |average| average.at(now))
     }
--- a/crates/rhubarblanding_admission/src/slots/gate.rs
+++ b/crates/rhubarblanding_admission/src/slots/gate.rs
@@ -226,6 +226,12 @@
         self.hold_times.recent(now, kind)
     }
 
+    /// Returns the longest time for which a request of `kind` held a slot lately; `None` before the
+    /// first one.
+    pub fn longest_hold(&self, kind: KindKey) -> Option<Duration> {
+        self.hold_times.longest(kind)
+    }
+
     /// Refuses all waiting requests. Running requests are not affected.
     pub fn refuse_waiting(&mut self, now: MonoTime, kind: ErrorKind) {
         for waiting in self.queue.take_all() {
--- a/crates/rhubarblanding_admission/src/slots/mod.rs
+++ b/crates/rhubarblanding_admission/src/slots/mod.rs
@@ -14,7 +14,7 @@
 mod rate;
 mod types;
 
-pub use estimate::KindKey;
+pub use estimate::{KindKey, LongestTimes};
 pub use gate::SlotGate;
 pub use rate::{InvalidRate, RequestRate};
 pub use types::{SlotArrival, SlotDecision, SlotEvent, SlotInputs, SlotSettings};
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -211,6 +211,11 @@
         }
     }
 
+    /// Returns the longest time for which a request of `kind` held a slot lately.
+    pub fn longest_hold(&self, kind: KindKey) -> Option<Duration> {
+        lock(&self.state).gate.longest_hold(kind)
+    }
+
     /// Returns the state and the number of slots that are announced to other nodes.
     pub fn announcement(&self) -> (TargetState, u32) {
         let state = lock(&self.state);
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -6,7 +6,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use rhubarblanding_admission::slots::SlotSettings;
+use rhubarblanding_admission::slots::{KindKey, LongestTimes, SlotSettings};
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_membership::prelude::{Input, Membership, MembershipSettings, Output, ViewMode};
 use rhubarblanding_node::process::Clock;
@@ -105,6 +105,8 @@
     notices: Mutex<KnownNotices>,
     /// Time by which requests are answered, once the process is stopping.
     answer_by: watch::Sender<Option<MonoTime>>,
+    /// Time from sending a request of each kind to a target until it answered.
+    answer_times: Mutex<LongestTimes>,
     refusing_peers: AtomicBool,
     refusing_clients: AtomicBool,
     pending_records: AtomicUsize,
@@ -166,6 +168,7 @@
             budgets: Mutex::default(),
             notices: Mutex::default(),
             answer_by: watch::Sender::new(None),
+            answer_times: Mutex::default(),
             refusing_peers: AtomicBool::new(false),
             refusing_clients: AtomicBool::new(false),
             pending_records: AtomicUsize::new(0),
@@ -295,11 +298,41 @@
         self.refusing_clients.load(Ordering::Relaxed)
     }
 
-    /// Starts to refuse new requests of clients.
+    /// Starts to refuse new requests of clients, and to take others only if they are expected to end in
+    /// time.
     pub fn refuse_clients(&self) {
         self.refusing_clients.store(true, Ordering::Relaxed);
     }
 
+    /// Records the time in which a target answered a request.
+    pub fn record_answer_time(&self, kind: KindKey, took: Duration) {
+        lock(&self.answer_times).record(kind, took);
+    }
+
+    /// Returns the refusal of a request of `kind` that this process may not live to answer, if it is
+    /// sent to a target now.
+    pub fn late_send(&self, kind: KindKey) -> Option<Refusal> {
+        self.late(|| lock(&self.answer_times).get(kind))
+    }
+
+    /// Returns the refusal of a request of `kind` that this process may not live to answer, if the
+    /// local target starts it now.
+    pub fn late_start(&self, kind: KindKey) -> Option<Refusal> {
+        self.late(|| self.local.longest_hold(kind))
+    }
+
+    /// What comes late in a stop is taken only if the longest known time of its kind is left.
+    fn late(&self, longest: impl FnOnce() -> Option<Duration>) -> Option<Refusal> {
+        if !self.is_refusing_clients() {
+            return None;
+        }
+        let limit = (*self.answer_by.borrow())?;
+        let left = self.clock.now().until(limit);
+        let fits = longest().is_some_and(|longest| longest < left);
+        let refusal = Refusal::with_retry_after(ErrorKind::NodeDraining, STOPPING_RETRY_AFTER);
+        (!fits).then_some(refusal)
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub fn open_request(self: &Arc<Self>) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
--- a/crates/rhubarblanding_mesh/src/request/attempts.rs
+++ b/crates/rhubarblanding_mesh/src/request/attempts.rs
@@ -73,6 +73,9 @@
             };
             return conclude(node, exchange, Refusal::new(kind), attempts);
         }
+        if let Some(late) = node.late_send(kind_key(exchange)) {
+            return conclude(node, exchange, late, attempts);
+        }
         let (service, tried) = (&exchange.service, &attempts.tried);
         let Some(target) = node.targets.pick(now, service, work_kind(exchange), tried) else {
             let no_target = Refusal::with_retry_after(ErrorKind::NoTarget, NOT_READY_RETRY_AFTER);
@@ -139,6 +142,7 @@
 ) -> NextStep {
     let hop = hop_request(node, exchange, target.host, attempts.reached);
     let sent = node.targets.started(&exchange.service, target);
+    let sent_at = node.clock.now();
     let reply = tokio::select! {
         biased;
         reply = forward(node, target.host, hop) => Some(reply),
@@ -174,6 +178,8 @@
                 false => TargetOutcome::Answered,
             });
             attempts.reached += 1;
+            let took = node.clock.now().since(sent_at);
+            node.record_answer_time(kind_key(exchange), took);
             if is_completed(&resp) {
                 node.suspects
                     .record_completed(|| exchange.fingerprint(node));
@@ -277,6 +283,10 @@
     WorkKind(stable_hash(0, route.name.as_bytes()))
 }
 
+fn kind_key(exchange: &Exchange) -> KindKey {
+    KindKey(work_kind(exchange).0)
+}
+
 fn hop_request(node: &Shared, exchange: &Exchange, host: HostId, reached: u32) -> HopRequest {
     let now = node.clock.now();
     let deadline = node.limit_deadline(exchange.deadline);
@@ -290,7 +300,7 @@
             is_call: exchange.is_call,
             repeated: exchange.repeated || reached > 0,
             calls_left: exchange.calls_left,
-            kind: KindKey(work_kind(exchange).0),
+            kind: kind_key(exchange),
             host: exchange.host.clone(),
         },
         method: exchange.method.clone(),
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -156,6 +156,10 @@
         Err(ReadError::TooLarge) => return Err(reject(ErrorKind::BodyTooLarge, None)),
         Err(ReadError::Cut) => return Err(reject(ErrorKind::InvalidRequest, None)),
     };
+    if node.is_refusing_clients() && lineage.is_none() {
+        // Its body took until now.
+        return Err(reject(ErrorKind::NodeDraining, Some(STOPPING_RETRY_AFTER)));
+    }
     account.check(node, &request_id).map_err(refusal)?;
     let client_timeout = parts
         .headers
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -60,12 +60,15 @@
     report: &mut RunReport,
 ) -> HopOutcome {
     let admitted = async {
+        let in_time = || node.late_start(hop.header.kind).map_or(Ok(()), Err);
+        in_time()?;
         let isolation = isolate(node, &hop, objective).await?;
         let id = hop.headers.get(&node.protocol.headers().request_id);
         let acquiring = node
             .local
             .acquire(node, &hop.header, id, (objective, deadline));
         let permit = acquiring.await?;
+        in_time()?;
         // Targets may have crashed while the request waited for its slot.
         let now = node.clock.now();
         match node.suspects.refusal(now, || fingerprint_of(node, &hop)) {
