--- a/crates/rhubarblanding_mesh/tests/mesh/store.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/store.rs
@@ -125,6 +125,23 @@
     assert_that!(fleet.stored("mesh/nodes/").await, eq(3));
 }
 
+/// While nothing happens, three nodes read the configuration each second, and each renews its address.
+#[tokio::test]
+async fn calm_nodes_call_the_store_seldom() {
+    let fleet = fleet().await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = fleet.store.calls().total();
+    const SECONDS: u64 = 8;
+    tokio::time::sleep(Duration::from_secs(SECONDS)).await;
+    let calls = fleet.store.calls().total() - before;
+    let hosts = fleet.hosts.len() as u64;
+    // A read each second and a renewal every 2.5 s, a list and a watch that ends.
+    let of_one = SECONDS + SECONDS * 2 / 5 + 2;
+    assert_that!(calls, le(hosts.min(3) * of_one + 2));
+    // Knowledge that nothing renews would need no calls.
+    assert_that!(calls, gt(SECONDS));
+}
+
 /// A node that may have missed a version does not claim that a route does not exist.
 #[tokio::test]
 async fn unknown_route_is_refused_for_good_on_fresh_knowledge_only() {
