--- a/crates/rhubarblanding_membership/tests/seeds.rs
+++ b/crates/rhubarblanding_membership/tests/seeds.rs
@@ -8,7 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rhubarblanding_core::prelude::*;
-use rhubarblanding_membership::message::ProbeSeq;
+use rhubarblanding_membership::message::{Body, ProbeSeq};
 use rhubarblanding_membership::prelude::*;
 
 const NODES: u8 = 40;
@@ -102,3 +102,32 @@
         assert_that!(members[0].targets(&service(i)).len(), gt(0));
     }
 }
+
+/// A node that learns outside of membership messages that a peer holds a newer document asks it once, and
+/// again only if no answer came.
+#[gtest]
+fn newer_document_of_a_peer_is_requested() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut member = member(0);
+    member.handle(MonoTime::ZERO, &mut rng, Input::Tick);
+    let held = Document::whole(DocVersion(4), "four".to_owned());
+    member.handle(MonoTime::ZERO, &mut rng, Input::Document(held));
+    let mut requests_at = |millis, version| {
+        let input = Input::PeerDocument {
+            from: host(1),
+            version: DocVersion(version),
+        };
+        let outputs = member.handle(MonoTime::from_millis(millis), &mut rng, input);
+        let is_request = |output: &Output| match output {
+            Output::Send { to, msg } => {
+                *to == host(1) && matches!(msg.body, Body::DocumentRequest(DocVersion(4)))
+            }
+            Output::Event(_) => false,
+        };
+        outputs.iter().filter(|output| is_request(output)).count()
+    };
+    expect_that!(requests_at(1, 4), eq(0));
+    expect_that!(requests_at(2, 5), eq(1));
+    expect_that!(requests_at(3, 5), eq(0));
+    expect_that!(requests_at(1_000, 5), eq(1));
+}
