Read for lost readers before a version is late

What callers saw: with all waiting watches silent and the three nodes that read the key-value service cut off from it, a version was in force some 0.5 s late at the other nodes; new routes were refused with 503 meanwhile.

Cause: all substitutes of the readers waited until the knowledge was 2.2 s old, more than the two seconds in which a version has to be in force.

Change: the first substitute reads at 1.2 s, each further one 0.05 s later, so that usually one of them reads.

--- a/crates/rhubarblanding_accounts/src/freshness/mod.rs
+++ b/crates/rhubarblanding_accounts/src/freshness/mod.rs
@@ -21,8 +21,11 @@
 /// Number of nodes that read it when the substitutes bring no news either: the service may turn away
 /// many nodes. The limit bounds the calls of a large fleet in an outage.
 const LAST_SUBSTITUTES: usize = 48;
-/// Age at which the substitutes read.
-const SUBSTITUTES_AGE: Duration = Duration::from_millis(2_200);
+/// Age at which the first substitute reads. It is above those of a calm fleet, and leaves time to pass
+/// a version on within the two seconds in which it has to be in force.
+const SUBSTITUTES_AGE: Duration = Duration::from_millis(1_200);
+/// Time by which each further substitute waits longer: the read of one is enough for all.
+const SUBSTITUTE_STEP: Duration = Duration::from_millis(50);
 /// Age at which the last substitutes read.
 const LAST_SUBSTITUTES_AGE: Duration = Duration::from_millis(3_000);
 /// Age at which a node reads that no other node answers.
@@ -145,8 +148,11 @@
         let is_alone = is_past(self.heard_at, ALONE_AFTER);
         let (read_age, interval) = match rank {
             0..READERS => (Duration::ZERO, READ_INTERVAL),
+            READERS..SUBSTITUTES if !is_alone => {
+                let step = SUBSTITUTE_STEP * (rank - READERS) as u32;
+                (SUBSTITUTES_AGE + step, SUBSTITUTE_INTERVAL)
+            }
             _ if is_alone => (ALONE_AGE, READ_INTERVAL),
-            READERS..SUBSTITUTES => (SUBSTITUTES_AGE, SUBSTITUTE_INTERVAL),
             SUBSTITUTES..LAST_SUBSTITUTES => (LAST_SUBSTITUTES_AGE, SUBSTITUTE_INTERVAL),
             _ => (Duration::MAX, SUBSTITUTE_INTERVAL),
         };
