Never pass another node's verdict on a request to its client

Cause: a node that is started at a reused address refuses requests for the service of before with unknown_service, and the entry node answered with the last refusal it got, whose status is 404. The class: what a hop, target or peer says of itself becomes the client's verdict. Related paths with the same cause: invalid_request of a hop (400), every other kind that only an entry node may give, kinds of a later version (500, and no retry of requests that had not run), 413 from an outdated configuration, refusals between nodes of rhubarblanding node, and running nodes whose settings name another service: they refused for good.

Change: the error table says who may decide on a kind; the entry translates the word of other nodes by it, and by the result whether the request ran. A host that refuses for its service is not chosen again in that incarnation, does not count towards the targets tried, and is shown its record, which it answers with the present one, also if its clock is behind. A node whose service changes takes the next incarnation. A hop whose header cannot be read is refused as not run.

--- a/crates/rhubarblanding_core/src/lib.rs
+++ b/crates/rhubarblanding_core/src/lib.rs
@@ -17,7 +17,7 @@
 /// Commonly used items of this crate.
 pub mod prelude {
     pub use crate::collections::{HashMap, HashSet};
-    pub use crate::error::{ErrorKind, Refusal, RetryAdvice, RunState};
+    pub use crate::error::{Decider, ErrorKind, Refusal, RetryAdvice, RunState};
     pub use crate::ids::{
         AccountKey, DocVersion, HostId, IdempotencyKey, Incarnation, RootId, TableVersion,
         TicketNumber,
--- a/crates/rhubarblanding_membership/src/io.rs
+++ b/crates/rhubarblanding_membership/src/io.rs
@@ -21,6 +21,15 @@
         /// Concurrency limit.
         slots: u32,
     },
+    /// The node's host belongs to another service from now on; its target is announced anew.
+    Service(ServiceName),
+    /// What the node on `host` does contradicts its record of that incarnation.
+    Contradicted {
+        /// Host of the node.
+        host: HostId,
+        /// Incarnation of the record.
+        incarnation: Incarnation,
+    },
     /// Complete list of the services that the node's own backend server calls.
     Interests(Vec<ServiceName>),
     /// A caller requests a service; its targets are kept for the lookup TTL.
--- a/crates/rhubarblanding_membership/src/membership/mod.rs
+++ b/crates/rhubarblanding_membership/src/membership/mod.rs
@@ -169,6 +169,10 @@
         match input {
             Input::Message(msg) => self.on_message(&mut cx, msg),
             Input::Announce { state, slots } => self.on_announce(&mut cx, state, slots),
+            Input::Service(service) => self.on_service(&mut cx, service),
+            Input::Contradicted { host, incarnation } => {
+                self.on_contradicted(&mut cx, host, incarnation);
+            }
             Input::Interests(services) => self.on_interests(&mut cx, services),
             Input::Lookup(service) => self.on_lookup_input(&mut cx, service),
             Input::Seeds(hosts) => self.on_seeds(&mut cx, hosts),
@@ -328,6 +332,21 @@
         self.publish(cx);
     }
 
+    /// Announces the own target as a new one, as the records of before are those of another service.
+    fn on_service(&mut self, cx: &mut Cx<'_>, service: ServiceName) {
+        let info = &mut self.me.info;
+        if info.service == service || info.state == TargetState::Stopped {
+            return;
+        }
+        info.service = service.clone();
+        info.state = TargetState::Starting;
+        info.slots = 0;
+        info.incarnation = Incarnation(info.incarnation.0 + 1);
+        self.me.revision = 0;
+        self.publish(cx);
+        self.look_up(cx, service);
+    }
+
     /// Sends `body` to `to` with piggybacked updates.
     fn send(&self, cx: &mut Cx<'_>, to: HostId, body: Body) {
         let updates = self.updates.piggyback(Self::PIGGYBACK_MAX);
--- a/crates/rhubarblanding_membership/src/membership/spreading.rs
+++ b/crates/rhubarblanding_membership/src/membership/spreading.rs
@@ -164,14 +164,16 @@
         }
     }
 
-    /// Refutes a record of the own node that is newer than the one it announced.
+    /// Refutes a record of the own host that supersedes the one that this node announced.
     fn refute(&mut self, cx: &mut Cx<'_>, record: &Record) {
         if !self.settings.mechanisms.refutation || self.me.is_final() {
             return;
         }
         let mine = self.me.stamp();
         let theirs = record.stamp();
-        if theirs <= mine {
+        // Another node may have started at this address in the same millisecond of its clock.
+        let is_own = theirs == mine && record.info == self.me.info;
+        if theirs < mine || is_own {
             return;
         }
         let same_incarnation = theirs.incarnation == mine.incarnation;
@@ -185,6 +187,22 @@
         self.publish(cx);
     }
 
+    /// Shows a peer its record, which it answers with a newer one.
+    pub(super) fn on_contradicted(
+        &mut self,
+        cx: &mut Cx<'_>,
+        host: HostId,
+        incarnation: Incarnation,
+    ) {
+        let held = self.record(host);
+        let held = held.filter(|held| held.info.incarnation == incarnation);
+        if let Some(held) = held.cloned()
+            && host != self.me.host()
+        {
+            self.send_with(cx, host, Body::Updates, vec![held]);
+        }
+    }
+
     /// Sends the own record to a peer that holds an outdated one.
     fn send_own_record(&self, cx: &mut Cx<'_>, peer: HostId, held: &Record) {
         if held.stamp() < self.me.stamp() {
--- a/crates/rhubarblanding_mesh/src/process/events.rs
+++ b/crates/rhubarblanding_mesh/src/process/events.rs
@@ -150,8 +150,14 @@
         );
     }
 
-    /// Logs that the node beside a target does not run `service`, for which the target was chosen.
-    pub fn log_other_service(&self, id: &HeaderValue, service: &ServiceName, target: TargetId) {
+    /// Logs that the host of `target`, which was chosen for a request, runs a service other than
+    /// `service`.
+    pub(super) fn log_other_service(
+        &self,
+        id: &HeaderValue,
+        service: &ServiceName,
+        target: TargetId,
+    ) {
         log::info!(
             id = request_id_text(Some(id)), service:% = service, host:% = target.host,
             incarnation = target.incarnation.0;
--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -286,6 +286,15 @@
         lock(&self.state).tracker.serving().cloned()
     }
 
+    /// Forgets the instance that serves, which is of another service than this host is now.
+    pub fn forget_instance(&self, node: &Shared) {
+        let now = node.clock.now();
+        let mut state = lock(&self.state);
+        state.tracker.forget();
+        state.refuse_waiting(now);
+        state.dispatch(now);
+    }
+
     /// Records that the target refuses connections.
     pub fn record_unreachable(&self, node: &Shared) {
         let now = node.clock.now();
--- a/crates/rhubarblanding_mesh/src/process/member.rs
+++ b/crates/rhubarblanding_mesh/src/process/member.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use http::HeaderValue;
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_membership::prelude::{Event, Health, Input, Output};
 use rhubarblanding_node::process::ticks;
+use rhubarblanding_routing::prelude::TargetId;
 use tokio::sync::mpsc;
 
 use super::shared::Shared;
@@ -67,6 +69,28 @@
     }
 }
 
+impl Shared {
+    /// Sends no more requests for `service` to `target`, whose host refused request `id` because it runs
+    /// another service, and asks that host what it is now.
+    pub fn disown(&self, id: &HeaderValue, service: &ServiceName, target: TargetId) {
+        if self.targets.disown(service, target) {
+            self.log_other_service(id, service, target);
+            self.member_input(Input::Contradicted {
+                host: target.host,
+                incarnation: target.incarnation,
+            });
+        }
+    }
+
+    /// Announces that this host has a target of another service from now on.
+    pub(super) fn change_service(&self, before: &ServiceName, service: &ServiceName) {
+        log::info!(before:% = before, service:% = service; "service_changed");
+        self.local.forget_instance(self);
+        self.member_input(Input::Service(service.clone()));
+        self.announce();
+    }
+}
+
 /// Returns the hosts of all other known nodes.
 pub(super) fn other_nodes(node: &Shared) -> Vec<HostId> {
     let own = node.host_id();
--- a/crates/rhubarblanding_mesh/src/process/mesh.rs
+++ b/crates/rhubarblanding_mesh/src/process/mesh.rs
@@ -152,7 +152,12 @@
         Ok(settings) => {
             log::info!(service:% = settings.service, target:% = settings.target_addr; "reloaded");
             node.member_input(Input::Seeds(settings.seeds.clone()));
+            let before = node.settings().service.clone();
+            let service = settings.service.clone();
             node.set_settings(settings);
+            if service != before {
+                node.change_service(&before, &service);
+            }
         }
         Err(reason) => log::warn!(reason = reason; "settings_invalid"),
     }
--- a/crates/rhubarblanding_mesh/src/process/targets.rs
+++ b/crates/rhubarblanding_mesh/src/process/targets.rs
@@ -88,6 +88,12 @@
         lock(&self.shard(service)).router.remove(host);
     }
 
+    /// Stops selecting a target whose host runs another service; returns `true` if it was selected until
+    /// now.
+    pub fn disown(&self, service: &ServiceName, target: TargetId) -> bool {
+        lock(&self.shard(service)).router.disown(target)
+    }
+
     /// Selects a target that is not in `exclude` for a request of `kind`.
     pub fn pick(
         &self,
--- a/crates/rhubarblanding_mesh/src/request/attempts.rs
+++ b/crates/rhubarblanding_mesh/src/request/attempts.rs
@@ -20,7 +20,7 @@
 
 /// Time beyond the deadline for which the entry node waits for the node beside the target.
 const ANSWER_GRACE: Duration = Duration::from_millis(80);
-/// Maximum number of targets that are tried for one request.
+/// Maximum number of targets of its service that are tried for one request.
 const TARGETS_MAX: usize = 3;
 
 /// Next step after an attempt.
@@ -43,9 +43,11 @@
 struct Attempts {
     /// Hosts whose target was chosen.
     tried: Vec<HostId>,
+    /// Number of hosts that were tried and run the service.
+    of_service: usize,
     /// Number of targets that the request was sent to.
     reached: u32,
-    /// Latest refusal.
+    /// Latest refusal by a host that runs the service, else the first one.
     refusal: Option<Refusal>,
     /// First outcome with an answer of the target, else the first without one.
     run_outcome: Option<RunOutcome>,
@@ -159,6 +161,20 @@
         sent.finish(TargetOutcome::Silent);
         return NextStep::Refuse(Refusal::new(ErrorKind::DeadlineExceeded));
     };
+    let outcome = outcome.for_client();
+    if let HopOutcome::Refused(refusal) = &outcome
+        && refusal.kind == ErrorKind::OtherService
+    {
+        // Its load and notices are those of another service.
+        sent.finish(TargetOutcome::Refused);
+        node.disown(&exchange.id, &exchange.service, target);
+        attempts.refusal.get_or_insert(Refusal {
+            retry_after: Some(NOT_READY_RETRY_AFTER),
+            ..*refusal
+        });
+        return NextStep::Retry;
+    }
+    attempts.of_service += 1;
     if let Some(load) = load {
         node.targets
             .observe(&exchange.service, target, work_kind(exchange), load);
@@ -191,13 +207,10 @@
             on_answer(node, exchange, (target, resp), attempts)
         }
         HopOutcome::Refused(refusal) => {
-            if refusal.kind == ErrorKind::UnknownService {
-                node.log_other_service(&exchange.id, &exchange.service, target);
-            }
             sent.finish(match refusal.kind {
-                ErrorKind::ConnectFailed
-                | ErrorKind::TargetDraining
-                | ErrorKind::UnknownService => TargetOutcome::ConnectFailed,
+                ErrorKind::ConnectFailed | ErrorKind::TargetDraining => {
+                    TargetOutcome::ConnectFailed
+                }
                 _ => TargetOutcome::Refused,
             });
             attempts.refusal = Some(refusal);
@@ -259,12 +272,9 @@
 fn on_refusal(refusal: Refusal, attempts: &Attempts) -> NextStep {
     let is_final = matches!(
         refusal.kind,
-        ErrorKind::DeadlineBeforeRun
-            | ErrorKind::QueueTimeout
-            | ErrorKind::InvalidRequest
-            | ErrorKind::CrashesTargets
+        ErrorKind::DeadlineBeforeRun | ErrorKind::QueueTimeout | ErrorKind::CrashesTargets
     );
-    if is_final || attempts.tried.len() >= TARGETS_MAX {
+    if is_final || attempts.of_service >= TARGETS_MAX {
         return NextStep::Refuse(refusal);
     }
     NextStep::Retry
@@ -272,7 +282,7 @@
 
 fn may_retry(node: &Shared, exchange: &Exchange, attempts: &Attempts, reason: RetryReason) -> bool {
     let is_allowed = attempts.reached < exchange.route.route().max_attempts
-        && attempts.tried.len() < TARGETS_MAX
+        && attempts.of_service < TARGETS_MAX
         && node.take_retry(&exchange.service, exchange.calls_left);
     if is_allowed {
         node.log_retry(&exchange.id, &exchange.service, reason, &attempts.tried);
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -153,6 +153,11 @@
     };
     let body = match body {
         Ok(body) => body,
+        // A newer version may allow it.
+        Err(ReadError::TooLarge) if is_outdated(node) => {
+            let kind = ErrorKind::ConfigurationOutdated;
+            return Err(reject(kind, Some(NOT_READY_RETRY_AFTER)));
+        }
         Err(ReadError::TooLarge) => return Err(reject(ErrorKind::BodyTooLarge, None)),
         Err(ReadError::Cut) => return Err(reject(ErrorKind::InvalidRequest, None)),
     };
--- a/crates/rhubarblanding_mesh/src/request/forward.rs
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -25,7 +25,8 @@
     }
     let limit = Instant::now() + hop.header.deadline + STREAM_GRACE;
     let Some(mut req) = build_request(host, hop) else {
-        return reply(HopOutcome::Refused(Refusal::new(ErrorKind::InvalidRequest)));
+        log::warn!(host:% = host; "request_not_encoded");
+        return reply(HopOutcome::Refused(Refusal::new(ErrorKind::RefusedByNode)));
     };
     let asked_at = ask_along(node, req.headers_mut());
     let id = req.headers().get(&node.protocol.headers().request_id);
--- a/crates/rhubarblanding_mesh/src/request/hop.rs
+++ b/crates/rhubarblanding_mesh/src/request/hop.rs
@@ -165,6 +165,16 @@
     Lost,
 }
 
+impl HopResult {
+    /// Returns the kind of error that stands for one that this version does not know.
+    fn unnamed_kind(self) -> ErrorKind {
+        match self {
+            Self::Refused | Self::Shed => ErrorKind::RefusedByNode,
+            Self::Answered | Self::Lost => ErrorKind::ConnectionLost,
+        }
+    }
+}
+
 /// Result of a request and load of the target, as the node beside the target reports them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HopStatus {
@@ -206,8 +216,9 @@
     fn try_from(raw: &str) -> Result<Self, InvalidHop> {
         let mut fields = raw.split(';');
         let mut next = || fields.next().ok_or(InvalidHop);
-        let result = next()?.parse().map_err(|_| InvalidHop)?;
-        let kind = next()?.parse().map_err(|_| InvalidHop)?;
+        let result: HopResult = next()?.parse().map_err(|_| InvalidHop)?;
+        // Nodes of later versions may know more kinds.
+        let kind = next()?.parse().unwrap_or(result.unnamed_kind());
         let retry_after = millis(next()?)?;
         let mut number = || next()?.parse::<u32>().map_err(|_| InvalidHop);
         let load = LoadReport {
@@ -247,6 +258,35 @@
     Lost(ErrorKind),
 }
 
+impl HopOutcome {
+    /// Returns the outcome as the entry node may tell it to the client: whether the request is at fault
+    /// is for the entry node to say, and whether it ran follows from the outcome alone.
+    pub fn for_client(self) -> Self {
+        match self {
+            Self::Answered(resp) => Self::Answered(resp),
+            Self::Refused(refusal) => Self::Refused(not_run(refusal)),
+            Self::Shed(refusal) => Self::Shed(not_run(refusal)),
+            Self::Lost(kind) => Self::Lost(match kind.answer().status {
+                500 | 502 | 504 if kind.answer().run_state == RunState::Unknown => kind,
+                _ => ErrorKind::ConnectionLost,
+            }),
+        }
+    }
+}
+
+fn not_run(refusal: Refusal) -> Refusal {
+    let told = refusal.from_other_node();
+    let answer = told.kind.answer();
+    let is_plain = answer.run_state == RunState::NotRun && matches!(answer.status, 503 | 504);
+    match is_plain {
+        true => told,
+        false => Refusal {
+            kind: ErrorKind::RefusedByNode,
+            ..told
+        },
+    }
+}
+
 /// Outcome of a request at one target, and the target's load if it was reported.
 pub struct HopReply {
     /// Outcome of the request.
--- a/crates/rhubarblanding_mesh/src/request/peer.rs
+++ b/crates/rhubarblanding_mesh/src/request/peer.rs
@@ -53,14 +53,7 @@
     }
     let open = node.open_request();
     if node.is_refusing_peers() {
-        let refusal = Refusal::new(ErrorKind::NodeDraining);
-        return encode(HopReply {
-            outcome: HopOutcome::Refused(refusal),
-            call_failed: false,
-            load: None,
-            notice: None,
-            crash: None,
-        });
+        return refuse(ErrorKind::NodeDraining);
     }
     let header = parts
         .headers
@@ -68,12 +61,12 @@
         .and_then(|value| value.to_str().ok().map(HopHeader::try_from));
     let Some(Ok(header)) = header else {
         log::warn!(path:% = parts.uri.path(); "peer_request_invalid");
-        return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
+        return refuse(ErrorKind::RefusedByNode);
     };
     let notice = take_notice(&mut parts.headers);
     let is_asked = parts.headers.remove(FRESHNESS_HEADER).is_some();
     let Some(body) = read_logged(body, BODY_MAX_BYTES, "peer_request_cut").await else {
-        return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
+        return refuse(ErrorKind::RefusedByNode);
     };
     let uri = parts
         .uri
@@ -180,6 +173,17 @@
     })
 }
 
+/// Refuses a request of another node that was not read whole.
+fn refuse(kind: ErrorKind) -> Response<Payload> {
+    encode(HopReply {
+        outcome: HopOutcome::Refused(Refusal::new(kind)),
+        call_failed: false,
+        load: None,
+        notice: None,
+        crash: None,
+    })
+}
+
 /// Encodes an outcome as an answer between nodes.
 fn encode(reply: HopReply) -> Response<Payload> {
     let (result, refusal, mut resp) = match reply.outcome {
--- a/crates/rhubarblanding_mesh/tests/hop.rs
+++ b/crates/rhubarblanding_mesh/tests/hop.rs
@@ -5,7 +5,8 @@
 use googletest::prelude::*;
 use rhubarblanding_admission::slots::KindKey;
 use rhubarblanding_core::prelude::*;
-use rhubarblanding_mesh::request::{HopHeader, HopResult, HopStatus, InvalidHop};
+use rhubarblanding_mesh::request::{HopHeader, HopOutcome, HopResult, HopStatus, InvalidHop};
+use strum::IntoEnumIterator;
 
 #[test]
 fn request_header_round_trips_through_text() {
@@ -62,3 +63,50 @@
     invalid_hold_time: ("answered;overloaded;0;1;2;3;0;0;-4");
     unknown_result: ("perhaps;overloaded;0;0;0;0;0");
 }
+
+/// Statuses that say that a request did not run, and those that say nothing.
+const NOT_RUN: [u16; 2] = [503, 504];
+const UNKNOWN: [u16; 3] = [500, 502, 504];
+
+/// What another node says of a request becomes the client's answer: it never blames the request, and
+/// says that it did not run exactly where that follows from the result.
+#[test]
+fn no_word_of_another_node_blames_the_request() {
+    for kind in ErrorKind::iter() {
+        let refusal = Refusal::with_retry_after(kind, Duration::from_millis(70));
+        for outcome in [HopOutcome::Refused(refusal), HopOutcome::Shed(refusal)] {
+            let (HopOutcome::Refused(told) | HopOutcome::Shed(told)) = outcome.for_client() else {
+                panic!("another outcome for {kind}");
+            };
+            let answer = told.kind.answer();
+            assert_that!(NOT_RUN.contains(&answer.status), eq(true), "{kind}");
+            assert_that!(answer.run_state, eq(RunState::NotRun), "{kind}");
+            assert_that!(told.retry_after, eq(refusal.retry_after), "{kind}");
+        }
+        let HopOutcome::Lost(told) = HopOutcome::Lost(kind).for_client() else {
+            panic!("another outcome for {kind}");
+        };
+        assert_that!(UNKNOWN.contains(&told.answer().status), eq(true), "{kind}");
+        assert_that!(told.answer().run_state, eq(RunState::Unknown), "{kind}");
+    }
+}
+
+/// A node of a later version names a kind of error that this one does not know.
+#[test]
+fn unknown_kind_of_error_keeps_its_result() {
+    let read = |raw: &str| HopStatus::try_from(raw).map(|status| (status.result, status.refusal));
+    let refused = Refusal::with_retry_after(ErrorKind::RefusedByNode, Duration::from_millis(70));
+    let tail = "later_kind;70;0;0;0;0;0;0";
+    assert_that!(
+        read(&format!("refused;{tail}")),
+        ok(eq((HopResult::Refused, refused)))
+    );
+    assert_that!(
+        read(&format!("shed;{tail}")),
+        ok(eq((HopResult::Shed, refused)))
+    );
+    assert_that!(
+        read(&format!("lost;{tail}")).map(|(_, refusal)| refusal.kind),
+        ok(eq(ErrorKind::ConnectionLost))
+    );
+}
--- a/crates/rhubarblanding_node/src/request/answer.rs
+++ b/crates/rhubarblanding_node/src/request/answer.rs
@@ -61,9 +61,23 @@
 
 /// Reads the refusal that another node answered with, if it is one.
 pub fn read_refusal(headers: &HeaderMap) -> Option<Refusal> {
-    let kind = headers::parse(headers, &headers::ERROR)?;
+    let name = headers.get(&headers::ERROR)?;
+    let kind = headers::parse(headers, &headers::ERROR);
+    let kind = kind.unwrap_or_else(|| {
+        // A node of a later version may know more kinds.
+        log::warn!(kind:? = name; "refusal_kind_unknown");
+        unnamed_kind(headers)
+    });
     let retry_after = headers::parse(headers, &headers::RETRY_AFTER_MS).map(Duration::from_millis);
-    Some(Refusal { kind, retry_after })
+    Some(Refusal { kind, retry_after }.from_other_node())
+}
+
+/// Returns the kind that stands for one that this version does not know, by the run state beside it.
+fn unnamed_kind(headers: &HeaderMap) -> ErrorKind {
+    match headers::parse(headers, &headers::RUN_STATE) {
+        Some(RunState::NotRun) => ErrorKind::RefusedByNode,
+        Some(RunState::Unknown | RunState::Ran) | None => ErrorKind::ConnectionLost,
+    }
 }
 
 /// JSON answer with `status`.
--- a/crates/rhubarblanding_request/src/attempt/decide.rs
+++ b/crates/rhubarblanding_request/src/attempt/decide.rs
@@ -81,6 +81,8 @@
         ErrorKind::TargetDraining
         | ErrorKind::NodeDraining
         | ErrorKind::NoTarget
+        | ErrorKind::OtherService
+        | ErrorKind::RefusedByNode
         | ErrorKind::BackendShed => Some(RetryReason::RefusedNotRun),
         _ => None,
     }
--- a/crates/rhubarblanding_routing/src/router/state.rs
+++ b/crates/rhubarblanding_routing/src/router/state.rs
@@ -137,6 +137,16 @@
         }
     }
 
+    /// Stops picking a target whose host belongs to another service now, until a later incarnation is
+    /// known; returns `true` if it was picked until now.
+    pub fn disown(&mut self, id: TargetId) -> bool {
+        let is_news = self.target_mut(id).is_some_and(Target::disown);
+        if is_news {
+            self.rebuild();
+        }
+        is_news
+    }
+
     /// Chooses a target: of two random ones, drawn by their capacity, the one that would be done
     /// first. Other zones are considered only
     /// while the preferred one is loaded, and draining targets only as the settings allow.
--- a/crates/rhubarblanding_routing/src/target/state.rs
+++ b/crates/rhubarblanding_routing/src/target/state.rs
@@ -27,6 +27,8 @@
     info: TargetInfo,
     /// `true` after a load report that the instance is draining.
     reported_draining: bool,
+    /// `true` if the host turned out to belong to another service.
+    disowned: bool,
     warming_since: MonoTime,
     load: Load,
     health: Health,
@@ -42,6 +44,7 @@
         Self {
             info,
             reported_draining: false,
+            disowned: false,
             warming_since: now,
             load: Load::default(),
             health: Health::new(),
@@ -85,12 +88,17 @@
 
     /// Returns `true` if the target takes new requests.
     pub(crate) fn is_serving(&self) -> bool {
-        self.info.state == TargetState::Serving && !self.reported_draining
+        self.info.state == TargetState::Serving && !self.reported_draining && !self.disowned
     }
 
     /// Returns `true` if the target announced that it is draining and has not stopped.
     pub(crate) fn is_draining(&self) -> bool {
-        self.info.state == TargetState::Draining
+        self.info.state == TargetState::Draining && !self.disowned
+    }
+
+    /// Marks the host as one of another service; returns `true` if it was not marked before.
+    pub(crate) fn disown(&mut self) -> bool {
+        !std::mem::replace(&mut self.disowned, true)
     }
 
     pub(crate) fn is_failing(&self) -> bool {
--- a/crates/rhubarblanding_routing/tests/router/main.rs
+++ b/crates/rhubarblanding_routing/tests/router/main.rs
@@ -17,7 +17,7 @@
     let outcome = fuzz::<RouterTest<{ Fault::NONE }>>(SEED, STEPS, true);
     assert_that!(outcome, ok(anything()));
     // The run is conclusive only if it covered these cases.
-    for case in ["picked", "none serving", "ejected", "draining"] {
+    for case in ["picked", "none serving", "ejected", "draining", "disowned"] {
         assert_that!(world::covered(case), gt(0), "{case}");
     }
 }
--- a/crates/rhubarblanding_routing/tests/router/model.rs
+++ b/crates/rhubarblanding_routing/tests/router/model.rs
@@ -39,6 +39,10 @@
     Remove {
         host: u8,
     },
+    /// A request finds that the host belongs to another service.
+    Disown {
+        host: u8,
+    },
     Pick {
         zone: u8,
         exclude: u8,
@@ -96,6 +100,7 @@
             2 => host.prop_map(|host| Step::Replace { host }),
             2 => host.prop_map(|host| Step::DrainUnannounced { host }),
             1 => host.prop_map(|host| Step::Remove { host }),
+            1 => any::<u8>().prop_map(|host| Step::Disown { host }),
             30 => (any::<u8>(), any::<u8>())
                 .prop_map(|(zone, exclude)| Step::Pick { zone, exclude }),
             30 => (any::<u16>(), outcome(), 0u32..20)
--- a/crates/rhubarblanding_routing/tests/router/world.rs
+++ b/crates/rhubarblanding_routing/tests/router/world.rs
@@ -125,6 +125,7 @@
                 self.known[host] = None;
                 self.router.remove(host_id(host));
             }
+            Step::Disown { host } => self.disown(usize::from(host) % HOSTS),
             Step::Pick { zone, exclude } => self.pick(zone, exclude),
             Step::End {
                 running,
@@ -174,6 +175,20 @@
         self.actual[host].draining = false;
     }
 
+    /// The host serves again only in a later incarnation.
+    fn disown(&mut self, host: usize) {
+        let Some(known) = &mut self.known[host] else {
+            return;
+        };
+        known.state = TargetState::Stopped;
+        let id = TargetId {
+            host: host_id(host),
+            incarnation: known.incarnation,
+        };
+        self.router.disown(id);
+        self.record_case("disowned");
+    }
+
     fn pick(&mut self, zone_index: u8, exclude: u8) {
         let excluded = [host_id(usize::from(exclude) % HOSTS)];
         let zone = zone(usize::from(zone_index));
