Follow the settings while a process stops

The settings of a host named another service 0.2 s before its node was told to stop; for the rest of the stop, up to 6 s, requests that entered there named the service of before as their caller's.

Cause: the settings were read until the stop signal only. Before the service could change in a running process nothing of them mattered then.

They are followed until the process ends.

--- a/crates/rhubarblanding_mesh/src/process/mesh.rs
+++ b/crates/rhubarblanding_mesh/src/process/mesh.rs
@@ -117,29 +117,42 @@
 
     /// Serves until the stop signal or until `stop` completes, then finishes the open requests.
     pub async fn run_until(mut self, stop: impl Future<Output = ()>) {
-        tokio::pin!(stop);
         let lifecycle = self.lifecycle.serve();
-        let mut modified = modified(&self.node);
-        loop {
-            tokio::select! {
-                _ = self.terminate.recv() => break,
-                () = &mut stop => break,
-                _ = self.hangup.recv() => reload(&self.node, &self.source),
-                () = tokio::time::sleep(SETTINGS_INTERVAL) => {
-                    let now = self::modified(&self.node);
-                    if now != modified {
-                        modified = now;
-                        reload(&self.node, &self.source);
-                    }
-                }
-            }
+        let (node, terminate) = (&self.node, &mut self.terminate);
+        // A stopping process serves for seconds, and its settings may change meanwhile.
+        let settings = follow_settings(node, &self.source, &mut self.hangup);
+        tokio::pin!(settings);
+        tokio::select! {
+            _ = terminate.recv() => {}
+            () = stop => {}
+            () = &mut settings => {}
         }
         let lifecycle = lifecycle.drain();
-        stop::drain(&self.node, &self.stop).await;
+        tokio::select! {
+            () = stop::drain(node, &self.stop) => {}
+            () = &mut settings => {}
+        }
         lifecycle.stop();
     }
 }
 
+/// Reloads the settings on a signal, and when their file changes; never completes.
+async fn follow_settings(node: &Shared, source: &SettingsSource, hangup: &mut Signal) {
+    let mut modified = self::modified(node);
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => reload(node, source),
+            () = tokio::time::sleep(SETTINGS_INTERVAL) => {
+                let now = self::modified(node);
+                if now != modified {
+                    modified = now;
+                    reload(node, source);
+                }
+            }
+        }
+    }
+}
+
 fn modified(node: &Shared) -> Option<SystemTime> {
     let settings = node.settings();
     std::fs::metadata(&settings.source)
