Meter what an answer of the key-value service takes

What callers saw in a test: while the key-value service answers with a chunk size of zeros without end, requests of clients take 2.5 s.

Cause: the HTTP library reads on as long as bytes come that yield nothing, on the only thread of the node. Its limits count heads, extensions and trailers, not zeros or interim answers.

Connections to the service are metered: 8 MiB from a request on, then they end. The parts of an answer are copied into one buffer, as each keeps all of the memory into which it was read, and an answer may have 6 MiB in place of 16.

--- a/crates/rhubarblanding_store/src/client/mod.rs
+++ b/crates/rhubarblanding_store/src/client/mod.rs
@@ -1,5 +1,6 @@
 //! Single calls to the key-value service.
 
+mod connector;
 mod counts;
 mod eras;
 mod transport;
--- a/crates/rhubarblanding_store/src/client/transport.rs
+++ b/crates/rhubarblanding_store/src/client/transport.rs
@@ -1,21 +1,26 @@
 //! HTTP exchange with a time limit. Its errors state whether a failed call may have been applied.
 
+use std::error::Error;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use error_stack::{Report, ResultExt};
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use super::connector::MeteredConnector;
 use super::{StoreResult, StoreSettings};
 use crate::codec::{Effect, WireCall};
 use crate::error::StoreError;
 
-/// Maximum size of an answer in bytes: a listing may be larger than one value.
-const ANSWER_MAX_BYTES: usize = 16 << 20;
+/// Maximum size of an answer in bytes: a page of a listing holds some values, written as text.
+const ANSWER_MAX_BYTES: usize = 6 << 20;
+/// Bytes that an answer may take on its connection, with its head and framing.
+const METERED_BYTES: u64 = 8 << 20;
 
 /// Time for which an idle connection is kept.
 const POOL_IDLE: Duration = Duration::from_secs(30);
@@ -43,7 +48,7 @@
 /// Pool of connections to the service.
 #[derive(Clone, Debug)]
 pub(super) struct Transport {
-    http: Client<HttpConnector, Full<Bytes>>,
+    http: Client<MeteredConnector, Full<Bytes>>,
     settings: StoreSettings,
 }
 
@@ -59,7 +64,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(POOL_IDLE)
             .pool_max_idle_per_host(POOL_MAX_IDLE)
-            .build(connector);
+            .build(MeteredConnector::new(connector, METERED_BYTES));
         Self { http, settings }
     }
 
@@ -95,15 +100,24 @@
             Err(e) => return Err(Report::new(e).change_context(effect.error_after_send())),
         };
         let (head, body) = res.into_parts();
-        let body = Limited::new(body, ANSWER_MAX_BYTES)
-            .collect()
-            .await
-            .map_err(|e| Report::new(effect.error_after_send()).attach(e.to_string()))?
-            .to_bytes();
+        let body = read(body).await;
         Ok(Received {
             status: head.status,
             headers: head.headers,
-            body,
+            body: body.map_err(|e| Report::new(effect.error_after_send()).attach(e.to_string()))?,
         })
     }
 }
+
+/// Reads a body of at most [`ANSWER_MAX_BYTES`]. Its parts are copied, as each keeps all of the memory
+/// into which it was read, however short it is.
+async fn read(body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    let mut body = Limited::new(body, ANSWER_MAX_BYTES);
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            buf.extend_from_slice(&data);
+        }
+    }
+    Ok(buf.freeze())
+}
--- a/crates/rhubarblanding_store/src/lib.rs
+++ b/crates/rhubarblanding_store/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod codec;
 pub mod error;
 pub mod key;
+pub mod metered;
 pub mod value;
 pub mod watch;
 
