Bound the memory and time that endless bytes take

What callers saw in tests on real processes: a node holds 643 MB, of 160 allowed, while a target sends 16 bytes each 5 ms; 303 MB for clients that do the same, 811 and 1345 MB for other nodes; other clients' requests wait for 5.0 and 6.9 s while targets send zeros or interim answers; 208 of 240 targets are held a second after the deadline of clients that do not read; bodies that stop before their end are awaited for ever.

Cause: a part of a body keeps the buffer into which it was read, limits were set for each body and not for all, the HTTP library reads on while nothing comes of it, the end of a stream was looked at only when somebody asked for more, and the wait for a body had no limit.

--- a/crates/rhubarblanding_mesh/src/connection/backend.rs
+++ b/crates/rhubarblanding_mesh/src/connection/backend.rs
@@ -1,5 +1,7 @@
 //! Connections to the local target.
 
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -14,6 +16,7 @@
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_node::process::Clock;
 use rhubarblanding_node::process::parking::{Mutex, lock};
+use rhubarblanding_store::metered::{Meter, MeteredStream, is_used_up};
 use strum::Display;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -31,6 +34,9 @@
 const GARBLED_PERIOD: Duration = Duration::from_secs(5);
 /// Maximum size of the head of an answer, in bytes.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
+/// Bytes that an answer may take before its first data: its head, interim answers and what is read
+/// ahead.
+const METERED_BYTES: u64 = 192 * 1024;
 
 /// Reason for which no connection could be opened; nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -58,7 +64,7 @@
     fn from(e: hyper::Error) -> Self {
         if e.is_canceled() {
             Self::NotSent
-        } else if e.is_parse() || e.is_user() {
+        } else if e.is_parse() || e.is_user() || is_endless(&e) {
             Self::Garbled
         } else {
             Self::Lost
@@ -66,6 +72,12 @@
     }
 }
 
+/// Returns `true` if the target sent too many bytes that yield no data.
+fn is_endless(e: &hyper::Error) -> bool {
+    let cause = e.source().and_then(|e| e.downcast_ref::<io::Error>());
+    cause.is_some_and(is_used_up)
+}
+
 #[derive(Debug)]
 struct IdleConn {
     conn: BackendConn,
@@ -77,6 +89,7 @@
 pub struct BackendConn {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    meter: Arc<Meter>,
     idle_timeout: Duration,
 }
 
@@ -87,6 +100,11 @@
 }
 
 impl BackendConn {
+    /// Returns the meter of what is read.
+    pub fn meter(&self) -> Arc<Meter> {
+        Arc::clone(&self.meter)
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -223,6 +241,8 @@
             Err(_) => return Err(ConnectError::Timeout),
         };
         socket::set_options(&stream);
+        let stream = MeteredStream::new(stream, METERED_BYTES);
+        let meter = stream.meter();
         let (sender, conn) = http1::Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
             .handshake(TokioIo::new(stream))
@@ -233,7 +253,7 @@
         let driver = tokio::spawn(async move {
             // A broken connection makes the exchange in progress fail by itself.
             if let Err(e) = conn.await
-                && e.is_parse()
+                && (e.is_parse() || is_endless(&e))
             {
                 garbled_at.store(clock.now().as_micros().max(1), Ordering::Relaxed);
             }
@@ -241,6 +261,7 @@
         Ok(BackendConn {
             sender,
             driver: driver.abort_handle(),
+            meter,
             idle_timeout: IDLE_TIMEOUT_DEFAULT,
         })
     }
--- a/crates/rhubarblanding_mesh/src/connection/mod.rs
+++ b/crates/rhubarblanding_mesh/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod ahead;
 mod backend;
+mod buffers;
 mod payload;
 mod peer;
 mod server;
@@ -9,6 +10,7 @@
 
 pub use ahead::{AheadCounters, Arrival, RequestBody, Turn};
 pub use backend::{BackendConn, BackendPool, ConnectError, ExchangeError};
+pub use buffers::{Buffer, BufferPool};
 pub use payload::{Payload, PayloadError};
 pub use peer::{PeerError, PeerPool};
 pub use server::{
--- a/crates/rhubarblanding_mesh/src/connection/payload.rs
+++ b/crates/rhubarblanding_mesh/src/connection/payload.rs
@@ -3,12 +3,16 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use rhubarblanding_node::process::parking::{Mutex, lock};
 use rhubarblanding_node::request::body::EndGuard;
+use rhubarblanding_store::metered::Meter;
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, Sleep};
 
 /// Body of an answer.
@@ -21,10 +25,22 @@
 
 /// Streamed body whose first chunks were already read.
 pub struct PrefixedStream {
+    /// `None` once it has overrun its limit.
+    source: SharedSource,
+    /// Wakes who waits for the source.
+    limit: Pin<Box<Sleep>>,
+    /// Ends the source at the limit also if nobody reads: who waits for room to pass bytes on does not
+    /// ask for more.
+    watchdog: AbortHandle,
+}
+
+type SharedSource = Arc<Mutex<Option<Source>>>;
+
+struct Source {
     first: VecDeque<Bytes>,
     rest: Incoming,
-    /// Ends the stream if its source does not.
-    limit: Pin<Box<Sleep>>,
+    /// Meter of the connection that it comes from.
+    meter: Option<Arc<Meter>>,
     guards: Vec<Box<dyn EndGuard>>,
 }
 
@@ -66,25 +82,48 @@
 
     /// Creates a body of `first` followed by `rest`, which breaks off at `limit`.
     pub fn stream(first: VecDeque<Bytes>, rest: Incoming, limit: Instant) -> Self {
-        Self::Stream(Box::new(PrefixedStream {
+        let source = Source {
             first,
             rest,
-            limit: Box::pin(tokio::time::sleep_until(limit)),
+            meter: None,
             guards: Vec::new(),
+        };
+        let source: SharedSource = Arc::new(Mutex::new(Some(source)));
+        let ended = Arc::clone(&source);
+        let watchdog = tokio::spawn(async move {
+            tokio::time::sleep_until(limit).await;
+            drop(lock(&ended).take());
+        });
+        Self::Stream(Box::new(PrefixedStream {
+            source,
+            limit: Box::pin(tokio::time::sleep_until(limit)),
+            watchdog: watchdog.abort_handle(),
         }))
     }
 
+    /// Records what is received of a streamed body in `meter`.
+    #[must_use]
+    pub fn metered(self, meter: Arc<Meter>) -> Self {
+        self.with_source(|source| source.meter = Some(meter))
+    }
+
     /// Notifies `guard` when a streamed body ends. A buffered body has ended for its source.
     #[must_use]
-    pub fn guarded(mut self, guard: Box<dyn EndGuard>) -> Self {
-        if let Self::Stream(stream) = &mut self {
-            stream.guards.push(guard);
+    pub fn guarded(self, guard: Box<dyn EndGuard>) -> Self {
+        self.with_source(|source| source.guards.push(guard))
+    }
+
+    fn with_source(self, change: impl FnOnce(&mut Source)) -> Self {
+        if let Self::Stream(stream) = &self
+            && let Some(source) = &mut *lock(&stream.source)
+        {
+            change(source);
         }
         self
     }
 }
 
-impl PrefixedStream {
+impl Source {
     fn end(&mut self, complete: bool) {
         for mut guard in self.guards.drain(..) {
             guard.ended(complete);
@@ -92,14 +131,13 @@
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, PayloadError>>> {
-        if self.limit.as_mut().poll(cx).is_ready() {
-            self.end(false);
-            return Poll::Ready(Some(Err(PayloadError::Overdue)));
-        }
         if let Some(chunk) = self.first.pop_front() {
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
         let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
+        if let (Some(meter), Some(Ok(frame))) = (&self.meter, &frame) {
+            meter.received(frame.data_ref().map_or(0, Bytes::len));
+        }
         match &frame {
             None => self.end(true),
             Some(Err(_)) => self.end(false),
@@ -108,14 +146,47 @@
         }
         Poll::Ready(frame.map(|frame| frame.map_err(PayloadError::Source)))
     }
+
+    fn size_hint(&self) -> SizeHint {
+        let first: u64 = self.first.iter().map(|chunk| chunk.len() as u64).sum();
+        let rest = self.rest.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(first + rest.lower());
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(first + upper);
+        }
+        hint
+    }
 }
 
-impl Drop for PrefixedStream {
+impl Drop for Source {
     fn drop(&mut self) {
         self.end(false);
     }
 }
 
+impl PrefixedStream {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, PayloadError>>> {
+        let is_over = self.limit.as_mut().poll(cx).is_ready();
+        let mut source = lock(&self.source);
+        if is_over {
+            drop(source.take());
+        }
+        match &mut *source {
+            Some(source) => source.poll(cx),
+            None => Poll::Ready(Some(Err(PayloadError::Overdue))),
+        }
+    }
+}
+
+impl Drop for PrefixedStream {
+    fn drop(&mut self) {
+        self.watchdog.abort();
+        // The watchdog holds it until the runtime drops its task.
+        drop(lock(&self.source).take());
+    }
+}
+
 impl Body for Payload {
     type Data = Bytes;
     type Error = PayloadError;
@@ -133,7 +204,9 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(bytes) => bytes.is_none(),
-            Self::Stream(stream) => stream.first.is_empty() && stream.rest.is_end_stream(),
+            Self::Stream(stream) => lock(&stream.source)
+                .as_ref()
+                .is_some_and(|source| source.first.is_empty() && source.rest.is_end_stream()),
         }
     }
 
@@ -142,20 +215,9 @@
             Self::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Self::Stream(stream) => stream.size_hint(),
+            Self::Stream(stream) => lock(&stream.source)
+                .as_ref()
+                .map_or_else(SizeHint::new, Source::size_hint),
         }
     }
 }
-
-impl PrefixedStream {
-    fn size_hint(&self) -> SizeHint {
-        let first: u64 = self.first.iter().map(|chunk| chunk.len() as u64).sum();
-        let rest = self.rest.size_hint();
-        let mut hint = SizeHint::new();
-        hint.set_lower(first + rest.lower());
-        if let Some(upper) = rest.upper() {
-            hint.set_upper(first + upper);
-        }
-        hint
-    }
-}
--- a/crates/rhubarblanding_mesh/src/process/control.rs
+++ b/crates/rhubarblanding_mesh/src/process/control.rs
@@ -23,7 +23,9 @@
     _: SocketAddr,
 ) -> Response<Payload> {
     let (parts, body) = req.into_parts();
-    let Some(body) = read_logged(body, CALL_MAX_BYTES, "control_call_cut").await else {
+    let Some(body) =
+        read_logged(body, CALL_MAX_BYTES, &node.message_pool, "control_call_cut").await
+    else {
         return reply(
             node.protocol
                 .reject(StatusCode::BAD_REQUEST, "body not read"),
--- a/crates/rhubarblanding_mesh/src/process/shared.rs
+++ b/crates/rhubarblanding_mesh/src/process/shared.rs
@@ -27,7 +27,7 @@
 use super::quota::{QuotaAsk, Quotas};
 use super::suspects::Suspects;
 use super::targets::Targets;
-use crate::connection::{BackendPool, Connections, PeerPool};
+use crate::connection::{BackendPool, BufferPool, Connections, PeerPool};
 use crate::protocol::Protocol;
 use crate::settings::MeshSettings;
 use crate::version::Version;
@@ -86,6 +86,12 @@
     pub freshness: FreshnessState,
     /// Quotas of client accounts.
     pub quotas: Quotas,
+    /// Memory for bodies of clients' requests.
+    pub request_pool: BufferPool,
+    /// Memory for answers that are held until they are complete.
+    pub answer_pool: BufferPool,
+    /// Memory for messages of other nodes and of the local target.
+    pub message_pool: BufferPool,
     /// Connections to other nodes.
     pub peers: Arc<PeerPool>,
     /// Requests of this node that other nodes hold.
@@ -155,6 +161,9 @@
             suspects: Suspects::default(),
             freshness: FreshnessState::default(),
             quotas,
+            request_pool: BufferPool::for_requests(settings.memory_bytes),
+            answer_pool: BufferPool::for_answers(settings.memory_bytes),
+            message_pool: BufferPool::for_messages(settings.memory_bytes),
             peers: Arc::new(PeerPool::new(clock)),
             hops: OpenHops::default(),
             connections: Connections::default(),
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -8,7 +8,6 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{Method, Request, Response, Uri};
 use rhubarblanding_core::prelude::*;
-use rhubarblanding_node::request::body::{ReadError, read_whole};
 use rhubarblanding_request::suspect::Fingerprint;
 
 use super::account::identify;
@@ -17,6 +16,7 @@
 use super::content;
 use super::headers::strip_connection_headers;
 use super::hop::{ANSWER_HEADER, NOTICE_HEADER, REQUEST_HEADER};
+use super::small_body::{HoldError, read_held};
 use crate::connection::{Arrival, Payload, RequestBody, Turn};
 use crate::process::FRESHNESS_HEADER;
 use crate::process::{RefusalStage, STOPPING_RETRY_AFTER, Shared};
@@ -143,37 +143,36 @@
     }
     let account = identify(node, &version, &route, &mut parts.headers, lineage).map_err(refusal)?;
     account.charge(node, &request_id).await.map_err(refusal)?;
+    let deadline = began + time_allowed(node, &parts.headers, &route);
     let limit = version.configuration().limits.body_bytes;
     let body = tokio::select! {
         biased;
-        body = read_whole(body, limit) => body,
+        body = read_held(body, limit, &node.request_pool) => body,
         () = node.answer_time_over() => {
             return Err(reject(ErrorKind::NodeDraining, Some(STOPPING_RETRY_AFTER)));
         }
+        () = tokio::time::sleep_until(node.clock.instant(deadline)) => {
+            return Err(reject(ErrorKind::DeadlineBeforeRun, None));
+        }
     };
     let body = match body {
         Ok(body) => body,
         // A newer version may allow it.
-        Err(ReadError::TooLarge) if is_outdated(node) => {
+        Err(HoldError::TooLarge) if is_outdated(node) => {
             let kind = ErrorKind::ConfigurationOutdated;
             return Err(reject(kind, Some(NOT_READY_RETRY_AFTER)));
         }
-        Err(ReadError::TooLarge) => return Err(reject(ErrorKind::BodyTooLarge, None)),
-        Err(ReadError::Cut) => return Err(reject(ErrorKind::InvalidRequest, None)),
+        Err(HoldError::TooLarge) => return Err(reject(ErrorKind::BodyTooLarge, None)),
+        Err(HoldError::Cut) => return Err(reject(ErrorKind::InvalidRequest, None)),
+        Err(HoldError::NoMemory) => {
+            return Err(reject(ErrorKind::Overloaded, Some(NOT_READY_RETRY_AFTER)));
+        }
     };
     if node.is_refusing_clients() && lineage.is_none() {
         // Its body took until now.
         return Err(reject(ErrorKind::NodeDraining, Some(STOPPING_RETRY_AFTER)));
     }
     account.check(node, &request_id).map_err(refusal)?;
-    let client_timeout = parts
-        .headers
-        .get(&names.deadline_ms)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.trim().parse().ok())
-        .map(Duration::from_millis);
-    let timeout = route.route().timeout;
-    let deadline = began + client_timeout.map_or(timeout, |t| t.min(timeout));
     let route_objective = began + route.route().objective;
     let objective = lineage
         .map_or(route_objective, |l| l.objective)
@@ -218,6 +217,18 @@
     })
 }
 
+/// Returns the time for which a request may be kept waiting: that of the client or of the route,
+/// whichever is shorter.
+fn time_allowed(node: &Shared, headers: &HeaderMap, route: &ChosenRoute) -> Duration {
+    let client = headers
+        .get(&node.protocol.headers().deadline_ms)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.trim().parse().ok())
+        .map(Duration::from_millis);
+    let timeout = route.route().timeout;
+    client.map_or(timeout, |client| client.min(timeout))
+}
+
 /// Returns `true` if a version newer than the active one may be in force for longer than nodes in
 /// touch take to adopt it.
 fn is_outdated(node: &Shared) -> bool {
--- a/crates/rhubarblanding_mesh/src/request/forward.rs
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -34,7 +34,7 @@
     match node.peers.send(host.0, req).await {
         Ok(mut resp) => {
             learn(node, host, resp.headers_mut(), asked_at);
-            receive(resp, limit).await
+            receive(node, resp, limit).await
         }
         Err(PeerError::NotSent | PeerError::Refused) => {
             reply(HopOutcome::Refused(Refusal::new(ErrorKind::ConnectFailed)))
@@ -69,7 +69,7 @@
     Some(req)
 }
 
-async fn receive(resp: Response<Incoming>, limit: Instant) -> HopReply {
+async fn receive(node: &Shared, resp: Response<Incoming>, limit: Instant) -> HopReply {
     let (mut parts, body) = resp.into_parts();
     let status = parts
         .headers
@@ -81,7 +81,7 @@
         return reply(HopOutcome::Lost(ErrorKind::Internal));
     };
     let outcome = match status.result {
-        HopResult::Answered => read_answer(parts, body, limit).await,
+        HopResult::Answered => read_answer(node, parts, body, limit).await,
         HopResult::Refused => HopOutcome::Refused(status.refusal),
         HopResult::Shed => HopOutcome::Shed(status.refusal),
         HopResult::Lost => HopOutcome::Lost(status.refusal.kind),
@@ -96,8 +96,13 @@
 }
 
 /// Buffers a small answer, so that the client gets all of it or a failure.
-async fn read_answer(parts: http::response::Parts, body: Incoming, limit: Instant) -> HopOutcome {
-    let payload = match small_body::read(body).await {
+async fn read_answer(
+    node: &Shared,
+    parts: http::response::Parts,
+    body: Incoming,
+    limit: Instant,
+) -> HopOutcome {
+    let payload = match small_body::read(body, &node.answer_pool, None).await {
         Ok(SmallBody::Complete(bytes)) => Payload::buffered(bytes),
         Ok(SmallBody::Partial(first, rest)) => Payload::stream(first, rest, limit),
         Err(_) => return HopOutcome::Lost(ErrorKind::ConnectionLost),
--- a/crates/rhubarblanding_mesh/src/request/peer.rs
+++ b/crates/rhubarblanding_mesh/src/request/peer.rs
@@ -65,7 +65,9 @@
     };
     let notice = take_notice(&mut parts.headers);
     let is_asked = parts.headers.remove(FRESHNESS_HEADER).is_some();
-    let Some(body) = read_logged(body, BODY_MAX_BYTES, "peer_request_cut").await else {
+    let Some(body) =
+        read_logged(body, BODY_MAX_BYTES, &node.message_pool, "peer_request_cut").await
+    else {
         return refuse(ErrorKind::RefusedByNode);
     };
     let uri = parts
@@ -99,7 +101,8 @@
 
 /// Handles a membership message of another node.
 async fn receive_gossip(node: &Shared, body: Incoming) -> Response<Payload> {
-    let Some(body) = read_logged(body, GOSSIP_MAX_BYTES, "gossip_cut").await else {
+    let Some(body) = read_logged(body, GOSSIP_MAX_BYTES, &node.message_pool, "gossip_cut").await
+    else {
         return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
     };
     match serde_json::from_slice(&body) {
@@ -111,7 +114,9 @@
 
 /// Handles another node's records of requests that crash targets.
 async fn receive_suspects(node: &Shared, body: Incoming) -> Response<Payload> {
-    let Some(body) = read_logged(body, SUSPECTS_MAX_BYTES, "suspects_cut").await else {
+    let Some(body) =
+        read_logged(body, SUSPECTS_MAX_BYTES, &node.message_pool, "suspects_cut").await
+    else {
         return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
     };
     match serde_json::from_slice::<Vec<SuspectRecord>>(&body) {
@@ -124,7 +129,14 @@
 /// Answers another node's message about departures.
 async fn receive_departures(node: &Shared, body: Incoming) -> Response<Payload> {
     let invalid = || super::refusal(Refusal::new(ErrorKind::InvalidRequest));
-    let Some(body) = read_logged(body, DEPARTURES_MAX_BYTES, "departures_cut").await else {
+    let Some(body) = read_logged(
+        body,
+        DEPARTURES_MAX_BYTES,
+        &node.message_pool,
+        "departures_cut",
+    )
+    .await
+    else {
         return invalid();
     };
     let msg = match serde_json::from_slice::<DepartureMessage>(&body) {
@@ -145,7 +157,9 @@
 
 /// Handles the message of a stopping node whose requests wait here.
 async fn receive_stop(node: &Shared, body: Incoming) -> Response<Payload> {
-    let Some(body) = read_logged(body, STOP_MAX_BYTES, "stop_message_cut").await else {
+    let Some(body) =
+        read_logged(body, STOP_MAX_BYTES, &node.message_pool, "stop_message_cut").await
+    else {
         return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
     };
     match serde_json::from_slice::<StopMessage>(&body) {
@@ -157,7 +171,8 @@
 
 /// Answers another node's ask for allotments.
 async fn receive_quota_ask(node: &Shared, body: Incoming) -> Response<Payload> {
-    let Some(body) = read_logged(body, QUOTA_MAX_BYTES, "quota_ask_cut").await else {
+    let Some(body) = read_logged(body, QUOTA_MAX_BYTES, &node.message_pool, "quota_ask_cut").await
+    else {
         return super::refusal(Refusal::new(ErrorKind::InvalidRequest));
     };
     let reply = match serde_json::from_slice(&body) {
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -330,10 +330,12 @@
     let notice = node.protocol.notice(&parts.headers);
     node.local
         .observe_notice(node, permit.instance(), at, notice);
-    let body = match small_body::read(body).await {
+    let meter = conn.meter();
+    let read = small_body::read(body, &node.answer_pool, Some(&meter));
+    let body = match read.await {
         Ok(body) => body,
         Err(e) => {
-            if e.is_parse() {
+            if ExchangeError::from(e) == ExchangeError::Garbled {
                 node.backend.record_garbled();
             }
             node.log_target_failure(id, "answer_cut");
@@ -364,7 +366,8 @@
                 conn,
                 _permit: permit.take(),
             };
-            Payload::stream(first, rest, limit).guarded(Box::new(guard))
+            let payload = Payload::stream(first, rest, limit).metered(meter);
+            payload.guarded(Box::new(guard))
         }
     };
     HopOutcome::Answered(Response::from_parts(parts, payload))
--- a/crates/rhubarblanding_mesh/src/settings/mod.rs
+++ b/crates/rhubarblanding_mesh/src/settings/mod.rs
@@ -82,6 +82,8 @@
     pub retry_bound: RetryBound,
     /// Bounds for client accounts.
     pub accounts: AccountBounds,
+    /// Memory that the process may hold, in bytes. It is read at the start only.
+    pub memory_bytes: u64,
     /// `true` if requests are sent to the servers of a service by their learned speed. It is read at
     /// the start only.
     pub places_by_speed: bool,
--- a/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/fleet.rs
@@ -334,6 +334,7 @@
             window: Duration::from_secs(10),
         },
         accounts: options.accounts,
+        memory_bytes: 256 << 20,
         places_by_speed: true,
         source: "none".into(),
     };
--- a/crates/rhubarblanding_node/src/request/body.rs
+++ b/crates/rhubarblanding_node/src/request/body.rs
@@ -1,12 +1,12 @@
 //! Request bodies read whole, and answer bodies passed on as a stream.
 
 use std::io;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body::{Body as HttpBody, Frame, SizeHint};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 
 use crate::connection::Body;
 
@@ -19,7 +19,8 @@
     Cut,
 }
 
-/// Reads a request body of at most `limit_bytes`.
+/// Reads a request body of at most `limit_bytes`. Its parts are copied, as each keeps all of the memory
+/// into which it was read, however short it is.
 ///
 /// # Errors
 ///
@@ -27,13 +28,22 @@
 pub async fn read_whole<B>(body: B, limit_bytes: usize) -> Result<Bytes, ReadError>
 where
     B: HttpBody<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    match Limited::new(body, limit_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ReadError::TooLarge),
-        Err(_) => Err(ReadError::Cut),
+    let mut body = pin!(body);
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| ReadError::Cut)?.into_data() else {
+            continue;
+        };
+        if buf.len() + data.len() > limit_bytes {
+            return Err(ReadError::TooLarge);
+        }
+        if buf.is_empty() && body.is_end_stream() {
+            return Ok(data);
+        }
+        buf.extend_from_slice(&data);
     }
+    Ok(buf.freeze())
 }
 
 /// Something that must learn how an answer ended.
