--- a/crates/rhubarblanding_mesh/src/process/local.rs
+++ b/crates/rhubarblanding_mesh/src/process/local.rs
@@ -5,7 +5,7 @@
 
 use http::HeaderValue;
 use rhubarblanding_admission::slots::{
-    KindKey, SlotArrival, SlotDecision, SlotEvent, SlotGate, SlotInputs, SlotSettings,
+    KindKey, SlotArrival, SlotDecision, SlotInputs, SlotSettings,
 };
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_node::process::parking::{Mutex, lock};
@@ -13,8 +13,9 @@
 
 use super::departures;
 use super::events::NoticeSource;
-use super::instance::{Confirmation, InstanceTracker, ReportVerdict};
-use super::lineage::{Lineage, RunningRequests};
+use super::instance::ReportVerdict;
+use super::lineage::Lineage;
+use super::local_state::{State, Waiter};
 use super::metrics::Backlog;
 use super::notice::{NoticeChange, NoticeTracker, SharedNotice};
 use super::permit::{RunningGuard, Slot, SlotPermit, WaitGuard};
@@ -27,28 +28,6 @@
 /// Time after a refused connection during which the target counts as down.
 const UNREACHABLE_HOLD: Duration = Duration::from_millis(250);
 
-/// Decision on a waiting request; the time is its deadline, which may have been lowered meanwhile.
-type Verdict = Result<MonoTime, Refusal>;
-
-/// Request that waits for a slot.
-struct Waiter {
-    /// Identifier that the client gave the request.
-    request_id: Option<HeaderValue>,
-    deadline: MonoTime,
-    verdict: oneshot::Sender<Verdict>,
-}
-
-struct State {
-    tracker: InstanceTracker,
-    confirmation: Confirmation,
-    gate: SlotGate,
-    waiting: HashMap<u64, Waiter>,
-    next_id: u64,
-    unreachable_until: MonoTime,
-    running: RunningRequests,
-    notices: NoticeTracker,
-}
-
 /// Numbers of requests that a node holds for its target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LocalRequests {
@@ -67,18 +46,8 @@
 impl LocalTarget {
     /// Creates a target without an instance.
     pub fn new(settings: SlotSettings) -> Self {
-        let state = State {
-            tracker: InstanceTracker::default(),
-            confirmation: Confirmation::default(),
-            gate: SlotGate::new(settings),
-            waiting: HashMap::default(),
-            next_id: 0,
-            unreachable_until: MonoTime::ZERO,
-            running: RunningRequests::default(),
-            notices: NoticeTracker::default(),
-        };
         Self {
-            state: Mutex::new(state),
+            state: Mutex::new(State::new(settings)),
             changed: Notify::new(),
         }
     }
@@ -447,64 +416,3 @@
         state.dispatch(now);
     }
 }
-
-impl State {
-    fn check(&self, now: MonoTime, node: &Shared, service: &ServiceName) -> Result<(), Refusal> {
-        if node.settings().service != *service {
-            return Err(Refusal::new(ErrorKind::UnknownService));
-        }
-        if self.tracker.serving().is_none() {
-            return Err(Refusal::new(ErrorKind::TargetDraining));
-        }
-        if now < self.unreachable_until {
-            return Err(Refusal::new(ErrorKind::ConnectFailed));
-        }
-        Ok(())
-    }
-
-    /// Applies a report of the target.
-    fn report(&mut self, now: MonoTime, node: &Shared, report: &InstanceReport) -> ReportVerdict {
-        let service = node.settings().service.clone();
-        let verdict = self.tracker.report(&service, report);
-        match verdict {
-            ReportVerdict::NewInstance => {
-                self.notices = NoticeTracker::new(&report.instance);
-                node.metrics.set_target_rate(None);
-                self.unreachable_until = MonoTime::ZERO;
-                self.gate.restart(now);
-                node.backend.clear();
-                self.gate.set_slots(now, report.slots);
-            }
-            ReportVerdict::Unchanged => self.gate.set_slots(now, report.slots),
-            ReportVerdict::BeganDraining => self.refuse_waiting(now),
-            ReportVerdict::Stale
-            | ReportVerdict::Departed
-            | ReportVerdict::OtherService
-            | ReportVerdict::Unconfirmed => {}
-        }
-        self.dispatch(now);
-        verdict
-    }
-
-    fn refuse_waiting(&mut self, now: MonoTime) {
-        self.gate.refuse_waiting(now, ErrorKind::TargetDraining);
-    }
-
-    /// Sends the decisions to the waiting requests.
-    fn dispatch(&mut self, now: MonoTime) {
-        for verdict in self.gate.poll(now) {
-            let (id, refusal) = match verdict {
-                SlotEvent::Admitted(id) => (id, None),
-                SlotEvent::Refused(id, refusal) => (id, Some(refusal)),
-            };
-            let is_heard = self.waiting.remove(&id).is_some_and(|waiter| {
-                let verdict = refusal.map_or(Ok(waiter.deadline), Err);
-                waiter.verdict.send(verdict).is_ok()
-            });
-            if !is_heard {
-                // The request was cancelled before the decision.
-                self.gate.cancelled(now, id);
-            }
-        }
-    }
-}
--- a/crates/rhubarblanding_mesh/src/request/attempts.rs
+++ b/crates/rhubarblanding_mesh/src/request/attempts.rs
@@ -162,17 +162,11 @@
         return NextStep::Refuse(Refusal::new(ErrorKind::DeadlineExceeded));
     };
     let outcome = outcome.for_client();
-    if let HopOutcome::Refused(refusal) = &outcome
+    if let HopOutcome::Refused(refusal) = outcome
         && refusal.kind == ErrorKind::OtherService
     {
-        // Its load and notices are those of another service.
         sent.finish(TargetOutcome::Refused);
-        node.disown(&exchange.id, &exchange.service, target);
-        attempts.refusal.get_or_insert(Refusal {
-            retry_after: Some(NOT_READY_RETRY_AFTER),
-            ..*refusal
-        });
-        return NextStep::Retry;
+        return on_other_service(node, exchange, (target, refusal), attempts);
     }
     attempts.of_service += 1;
     if let Some(load) = load {
@@ -242,6 +236,21 @@
     }
 }
 
+/// Tries another target. The load and the notices in such a reply are those of another service.
+fn on_other_service(
+    node: &Shared,
+    exchange: &Exchange,
+    (target, refusal): (TargetId, Refusal),
+    attempts: &mut Attempts,
+) -> NextStep {
+    node.disown(&exchange.id, &exchange.service, target);
+    attempts.refusal.get_or_insert(Refusal {
+        retry_after: Some(NOT_READY_RETRY_AFTER),
+        ..refusal
+    });
+    NextStep::Retry
+}
+
 /// Returns `true` unless several targets have crashed with the request.
 fn is_unsuspected(node: &Shared, exchange: &Exchange) -> bool {
     let now = node.clock.now();
