--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -206,6 +206,7 @@
             return (200, {**item, "at_rev": self.rev}) if item else (404, {"error": "no such key"})
         if url.path == "/kv-range":
             keys = sorted(k for k in self.items if k.startswith(query["path_prefix"]) and k > query.get("after", ""))
+            self.record.write(f"store: range {query['path_prefix']} has {len(keys)} items")
             return 200, {"items": [self.items[k] for k in keys], "has_more": False, "at_rev": self.rev}
         if url.path == "/kv-watch":
             return await self.watch(query)
@@ -260,6 +261,7 @@
                 return 404, {"error": "no such lease"}
         for put in body.get("puts", []):
             self.put(put["key"], base64.b64decode(put["value"]), put.get("lease_id", 0) or 0)
+            self.record.write(f"store: {put['key']} written")
         for key in body.get("remove", []):
             self.remove(key)
         await self.notify()
