--- a/crates/rhubarblanding_mesh/src/process/events.rs
+++ b/crates/rhubarblanding_mesh/src/process/events.rs
@@ -135,17 +135,20 @@
         );
     }
 
-    /// Logs a request that is sent to a target other than those of `tried`.
+    /// Logs a request that is sent to a target other than those of `tried`, by the route that `version`
+    /// of the configuration has for it.
     pub fn log_retry(
         &self,
         id: &HeaderValue,
         service: &ServiceName,
         reason: RetryReason,
-        tried: &[HostId],
+        (tried, version): (&[HostId], DocVersion),
     ) {
         let host = tried.last().map(HostId::to_string).unwrap_or_default();
+        let active = self.version().map_or(0, |version| version.number().0);
         log::info!(
-            id = request_id_text(Some(id)), service:% = service, host = host, reason:% = reason;
+            id = request_id_text(Some(id)), service:% = service, host = host, reason:% = reason,
+            version = version.0, active = active, age_ms = age_ms(self.configuration_age());
             "sent_again"
         );
     }
--- a/crates/rhubarblanding_mesh/src/request/attempts.rs
+++ b/crates/rhubarblanding_mesh/src/request/attempts.rs
@@ -294,7 +294,8 @@
         && attempts.of_service < TARGETS_MAX
         && node.take_retry(&exchange.service, exchange.calls_left);
     if is_allowed {
-        node.log_retry(&exchange.id, &exchange.service, reason, &attempts.tried);
+        let choice = (&*attempts.tried, exchange.route.version());
+        node.log_retry(&exchange.id, &exchange.service, reason, choice);
     }
     is_allowed
 }
