Repeat a request only by a route that may still be in force

Cause: whether a request may run again was decided when it arrived, by the active version however old the knowledge of it was, and used after the first attempt. A node that goes on after a pause handles what waits in its sockets before it reads that there is a newer version. The same holds without any pause where the key-value service is silent for all nodes.

Change: a request carries its version and the time before which no newer one was in force. It runs again only if that time, renewed for as long as the version is active, is at most the time of adoption before the request arrived, and if the route that it has now allows it, too. As the bound is compared with the arrival, a pause between the check and the sending does no harm. Keys of client accounts use the same evidence. The line not_sent_again and the counter retries_withheld tell of such requests.

--- a/crates/rhubarblanding_accounts/src/freshness/mod.rs
+++ b/crates/rhubarblanding_accounts/src/freshness/mod.rs
@@ -72,6 +72,11 @@
         self.known_at
     }
 
+    /// Returns the time of another node's latest answer.
+    pub fn heard_at(&self) -> Option<MonoTime> {
+        self.heard_at
+    }
+
     /// Returns the age of the knowledge, `None` if there is none.
     pub fn age(&self, now: MonoTime) -> Option<Duration> {
         self.known_at.map(|at| now.since(at))
--- a/crates/rhubarblanding_mesh/src/process/events.rs
+++ b/crates/rhubarblanding_mesh/src/process/events.rs
@@ -153,6 +153,18 @@
         );
     }
 
+    /// Logs and counts a request that does not run again, as the route that `version` of the
+    /// configuration has for it may be out of force.
+    pub fn log_retry_withheld(&self, id: &HeaderValue, service: &ServiceName, version: DocVersion) {
+        self.metrics.retry_withheld();
+        let active = self.version().map_or(0, |version| version.number().0);
+        log::info!(
+            id = request_id_text(Some(id)), service:% = service, version = version.0,
+            active = active, age_ms = age_ms(self.configuration_age());
+            "not_sent_again"
+        );
+    }
+
     /// Logs that the host of `target`, which was chosen for a request, runs a service other than
     /// `service`.
     pub(super) fn log_other_service(
--- a/crates/rhubarblanding_mesh/src/process/freshness.rs
+++ b/crates/rhubarblanding_mesh/src/process/freshness.rs
@@ -17,7 +17,7 @@
 use rhubarblanding_node::process::parking::{Mutex, lock};
 use rhubarblanding_store::client::StoreResult;
 use rhubarblanding_store::{Revision, StoreError, WatchOutcome};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::configuration;
 use super::events::age_ms;
@@ -51,6 +51,10 @@
     /// Whether the watch of the configuration is answered, once there is one. While it is not, it
     /// reads the key again and again.
     watch_reachable: Mutex<Option<watch::Receiver<bool>>>,
+    /// Number of answers to questions and reads.
+    answers: watch::Sender<u64>,
+    /// Wakes the task that renews the knowledge.
+    hastened: Notify,
 }
 
 impl FreshnessState {
@@ -59,6 +63,27 @@
         lock(&self.knowledge).known_at()
     }
 
+    /// Returns the time of another node's latest answer.
+    pub(super) fn heard_at(&self) -> Option<MonoTime> {
+        lock(&self.knowledge).heard_at()
+    }
+
+    /// Returns a receiver that is notified of each answer that may renew the knowledge.
+    pub(super) fn watch_renewals(&self) -> watch::Receiver<u64> {
+        self.answers.subscribe()
+    }
+
+    /// Renews the knowledge soon if it is due.
+    pub(super) fn hasten(&self) {
+        self.hastened.notify_one();
+    }
+
+    /// Applies an answer to the knowledge.
+    fn learn(&self, apply: impl FnOnce(&mut Freshness)) {
+        apply(&mut lock(&self.knowledge));
+        self.answers.send_modify(|count| *count += 1);
+    }
+
     /// Sets the watch of the configuration, by whether its last call was answered.
     pub(super) fn follow_watch(&self, reachable: watch::Receiver<bool>) {
         *lock(&self.watch_reachable) = Some(reachable);
@@ -75,7 +100,8 @@
     /// Records that some read by this process returned `version`. It was sent after the process
     /// started, which suffices for a node that has just started.
     pub(super) fn learn_since_start(&self, node: &Shared, version: DocVersion) {
-        lock(&self.knowledge).learn_read(active(node), MonoTime::ZERO, version);
+        let active = active(node);
+        self.learn(|known| known.learn_read(active, MonoTime::ZERO, version));
     }
 }
 
@@ -118,7 +144,9 @@
     };
     let word = word.and_then(|value| Word::try_from(value.to_str().ok()?).ok());
     let (now, active) = (node.clock.now(), active(node));
-    lock(&node.freshness.knowledge).learn_word(active, (asked_at, now), word);
+    let times = (asked_at, now);
+    node.freshness
+        .learn(|known| known.learn_word(active, times, word));
     if let Some(Word { version, .. }) = word.filter(|word| word.version > active) {
         node.member_input(Input::PeerDocument { from, version });
     }
@@ -155,7 +183,10 @@
             }
         }
         reported.update(&node);
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(CHECK_INTERVAL) => {}
+            () = node.freshness.hastened.notified() => {}
+        }
     }
 }
 
@@ -268,7 +299,8 @@
         match read(&node).await {
             Ok(Some(version)) => {
                 let active = active(&node);
-                lock(&node.freshness.knowledge).learn_read(active, sent_at, version);
+                let learn = |known: &mut Freshness| known.learn_read(active, sent_at, version);
+                node.freshness.learn(learn);
             }
             Ok(None) => {}
             Err(report) => {
--- a/crates/rhubarblanding_mesh/src/process/metrics.rs
+++ b/crates/rhubarblanding_mesh/src/process/metrics.rs
@@ -98,6 +98,7 @@
     latency: Histogram,
     target_failures: Counter,
     retries: Counter,
+    retries_withheld: Counter,
     cancelled: Counter,
     configurations_refused: Counter,
     configuration_findings: Gauge,
@@ -145,6 +146,9 @@
             "Requests sent to a second target",
             retries.clone(),
         );
+        let retries_withheld = Counter::default();
+        let help = "Requests not sent to a second target as their route may be out of force";
+        registry.register("retries_withheld", help, retries_withheld.clone());
         let help = "Requests whose sender left before the answer";
         registry.register("cancelled", help, cancelled.clone());
         let configurations_refused = Counter::default();
@@ -206,6 +210,7 @@
             latency,
             target_failures,
             retries,
+            retries_withheld,
             cancelled,
             configurations_refused,
             configuration_findings,
@@ -279,6 +284,11 @@
         self.retries.inc();
     }
 
+    /// Counts a request that is not sent to a second target, as its route may be out of force.
+    pub fn retry_withheld(&self) {
+        self.retries_withheld.inc();
+    }
+
     /// Counts a request whose sender disconnected before the answer.
     pub fn cancelled(&self) {
         self.cancelled.inc();
--- a/crates/rhubarblanding_mesh/src/request/account.rs
+++ b/crates/rhubarblanding_mesh/src/request/account.rs
@@ -7,7 +7,7 @@
 use rhubarblanding_accounts::quota::Quota;
 use rhubarblanding_core::prelude::*;
 
-use crate::process::{Lineage, Shared};
+use crate::process::{Evidence, Lineage, Shared};
 use crate::version::{ChosenRoute, Version};
 
 /// `Retry-After` while this node cannot decide on a key: its knowledge is usually renewed within a
@@ -24,14 +24,8 @@
     pub(super) rank: Option<u8>,
     /// Limit that the request is charged to; `None` for calls as well.
     quota: Option<Quota>,
-    admission: Option<Admission>,
-}
-
-/// Knowledge on which a key was admitted.
-#[derive(Clone, Copy, Debug)]
-struct Admission {
-    version: DocVersion,
-    known_at: MonoTime,
+    /// That the version by which a key was admitted was in force.
+    admission: Option<Evidence>,
 }
 
 /// Removes the client's key and sets the name of its account for the target.
@@ -41,7 +35,7 @@
 /// Fails with the refusal of a request whose key is missing, unknown, or cannot be decided on.
 pub(super) fn identify(
     node: &Shared,
-    version: &Version,
+    (version, evidence): (&Version, Evidence),
     route: &ChosenRoute,
     headers: &mut HeaderMap,
     lineage: Option<Lineage>,
@@ -65,7 +59,7 @@
             (account, None)
         }
         None if route.route().anonymous => return Ok(ClientAccount::default()),
-        None => admit(node, version, headers, credential.as_ref())?,
+        None => admit(node, (version, evidence), headers, credential.as_ref())?,
     };
     if let Ok(name) = HeaderValue::try_from(&*account.name) {
         headers.insert(names.account.clone(), name);
@@ -87,15 +81,15 @@
 
 fn admit<'a>(
     node: &Shared,
-    version: &'a Version,
+    (version, evidence): (&'a Version, Evidence),
     headers: &HeaderMap,
     credential: Option<&HeaderValue>,
-) -> Result<(&'a Account, Option<Admission>), Refusal> {
+) -> Result<(&'a Account, Option<Evidence>), Refusal> {
     let accounts = &version.configuration().accounts;
     let holder = credential.map_or(Holder::Nobody, |key| accounts.holder(key.as_bytes()));
     let number = version.number();
     let now = node.clock.now();
-    let known_at = node.freshness.known_at();
+    let known_at = evidence.known_at(node);
     let bounds = node.settings().accounts;
     let refuse = |refusal, account: Option<&Account>| {
         let age = known_at.map(|at| now.since(at));
@@ -112,11 +106,7 @@
             if !is_fresh(bound) {
                 return refuse(outdated(), Some(account));
             }
-            let admission = known_at.map(|known_at| Admission {
-                version: number,
-                known_at,
-            });
-            Ok((account, admission))
+            Ok((account, Some(evidence)))
         }
         Holder::Faulty => {
             let unusable = ErrorKind::UnusableAccount;
@@ -167,17 +157,12 @@
         let (Some(admission), Some(bound)) = (self.admission, withdrawal) else {
             return Ok(());
         };
-        let is_active = node
-            .version()
-            .is_some_and(|version| version.number() == admission.version);
-        let renewed = node.freshness.known_at().filter(|_| is_active);
-        let known_at = renewed.unwrap_or(admission.known_at);
         let now = node.clock.now();
-        if now.since(known_at) < bound {
+        let age = admission.known_at(node).map(|at| now.since(at));
+        if age.is_some_and(|age| age < bound) {
             return Ok(());
         }
-        let age = Some(now.since(known_at));
-        node.log_account_refusal(Some(id), outdated(), None, (admission.version, age));
+        node.log_account_refusal(Some(id), outdated(), None, (admission.version(), age));
         Err(outdated())
     }
 }
--- a/crates/rhubarblanding_mesh/src/request/attempts.rs
+++ b/crates/rhubarblanding_mesh/src/request/attempts.rs
@@ -9,6 +9,7 @@
 use rhubarblanding_core::prelude::*;
 use rhubarblanding_request::suspect::SuspectVerdict;
 use rhubarblanding_routing::prelude::{TargetId, TargetOutcome, WorkKind};
+use rhubarblanding_routing::table::Route;
 
 use super::answer::refusal;
 use super::entry::{Exchange, NOT_READY_RETRY_AFTER};
@@ -17,6 +18,7 @@
 use super::serve::is_completed;
 use crate::connection::Payload;
 use crate::process::{RefusalStage, RetryReason, Shared};
+use crate::version::ChosenRoute;
 
 /// Time beyond the deadline for which the entry node waits for the node beside the target.
 const ANSWER_GRACE: Duration = Duration::from_millis(80);
@@ -198,7 +200,7 @@
                 // A service that the target calls failed; another run would fail there too.
                 return NextStep::Deliver(resp);
             }
-            on_answer(node, exchange, (target, resp), attempts)
+            on_answer(node, exchange, (target, resp), attempts).await
         }
         HopOutcome::Refused(refusal) => {
             sent.finish(match refusal.kind {
@@ -222,10 +224,9 @@
         HopOutcome::Lost(kind) => {
             sent.finish(TargetOutcome::ConnectionLost);
             attempts.reached += 1;
-            let is_idempotent = exchange.route.route().idempotency == Idempotency::Idempotent;
-            if is_idempotent
-                && kind != ErrorKind::DeadlineExceeded
+            if kind != ErrorKind::DeadlineExceeded
                 && is_unsuspected(node, exchange)
+                && may_run_again(node, exchange, attempts).await
                 && may_retry(node, exchange, attempts, RetryReason::Lost)
             {
                 attempts.run_outcome.get_or_insert(RunOutcome::Lost(kind));
@@ -259,15 +260,17 @@
 }
 
 /// Retries a failed request at another target if it is idempotent.
-fn on_answer(
+async fn on_answer(
     node: &Shared,
     exchange: &Exchange,
     (target, resp): (TargetId, Response<Payload>),
     attempts: &mut Attempts,
 ) -> NextStep {
     let is_failure = resp.status().is_server_error() && resp.status().as_u16() != 504;
-    let is_idempotent = exchange.route.route().idempotency == Idempotency::Idempotent;
-    if is_failure && is_idempotent && may_retry(node, exchange, attempts, RetryReason::Failed) {
+    if is_failure
+        && may_run_again(node, exchange, attempts).await
+        && may_retry(node, exchange, attempts, RetryReason::Failed)
+    {
         // A target's answer is more informative than a lost one.
         if !matches!(attempts.run_outcome, Some(RunOutcome::Failed(..))) {
             attempts.run_outcome = Some(RunOutcome::Failed(target, resp));
@@ -289,9 +292,44 @@
     NextStep::Retry
 }
 
+/// Returns `true` if a request that ran, or may have run, may run at another target: by the route that
+/// it came under, by that which it has now, and as far as this node can know of later ones.
+async fn may_run_again(node: &Shared, exchange: &Exchange, attempts: &Attempts) -> bool {
+    let route = &exchange.route;
+    if !allows_another_run(route.route(), &exchange.service, attempts) {
+        return false;
+    }
+    let covered = tokio::select! {
+        biased;
+        covered = exchange.evidence.covers(node, exchange.began) => covered,
+        () = node.expired(exchange.deadline, Duration::ZERO) => false,
+    };
+    let is_allowed = covered
+        && node.version().is_some_and(|active| {
+            let has_changed = active.number() != route.version();
+            let now = ChosenRoute::find(&active, &exchange.host, exchange.uri.path());
+            let allows =
+                |r: ChosenRoute| allows_another_run(r.route(), &exchange.service, attempts);
+            !has_changed || now.is_ok_and(allows)
+        });
+    if !is_allowed {
+        node.log_retry_withheld(&exchange.id, &exchange.service, route.version());
+    }
+    is_allowed
+}
+
+fn allows_another_run(route: &Route, service: &ServiceName, attempts: &Attempts) -> bool {
+    route.idempotency == Idempotency::Idempotent
+        && has_attempts_left(route, attempts)
+        && route.backends.iter().any(|b| b.service == *service)
+}
+
+fn has_attempts_left(route: &Route, attempts: &Attempts) -> bool {
+    attempts.reached < route.max_attempts && attempts.of_service < TARGETS_MAX
+}
+
 fn may_retry(node: &Shared, exchange: &Exchange, attempts: &Attempts, reason: RetryReason) -> bool {
-    let is_allowed = attempts.reached < exchange.route.route().max_attempts
-        && attempts.of_service < TARGETS_MAX
+    let is_allowed = has_attempts_left(exchange.route.route(), attempts)
         && node.take_retry(&exchange.service, exchange.calls_left);
     if is_allowed {
         let choice = (&*attempts.tried, exchange.route.version());
--- a/crates/rhubarblanding_mesh/src/request/entry.rs
+++ b/crates/rhubarblanding_mesh/src/request/entry.rs
@@ -19,7 +19,7 @@
 use super::small_body::{HoldError, read_held};
 use crate::connection::{Arrival, Payload, RequestBody, Turn};
 use crate::process::FRESHNESS_HEADER;
-use crate::process::{RefusalStage, STOPPING_RETRY_AFTER, Shared};
+use crate::process::{Evidence, RefusalStage, STOPPING_RETRY_AFTER, Shared};
 use crate::version::ChosenRoute;
 
 /// `Retry-After` while this node has no configuration or an outdated one, or no target for the
@@ -31,6 +31,8 @@
 pub(super) struct Exchange {
     pub(super) id: HeaderValue,
     pub(super) route: ChosenRoute,
+    /// That the version with the route was in force.
+    pub(super) evidence: Evidence,
     pub(super) service: ServiceName,
     pub(super) method: Method,
     pub(super) uri: Uri,
@@ -102,7 +104,7 @@
         node.log_refusal(id.as_ref(), refused, RefusalStage::AtEntry);
         refusal(refused)
     };
-    let Some(version) = node.version() else {
+    let Some((version, evidence)) = Evidence::of_active(node) else {
         return Err(reject(
             ErrorKind::NoConfiguration,
             Some(NOT_READY_RETRY_AFTER),
@@ -141,7 +143,8 @@
     if node.is_refusing_clients() && lineage.is_none() {
         return Err(reject(ErrorKind::NodeDraining, Some(STOPPING_RETRY_AFTER)));
     }
-    let account = identify(node, &version, &route, &mut parts.headers, lineage).map_err(refusal)?;
+    let basis = (&*version, evidence);
+    let account = identify(node, basis, &route, &mut parts.headers, lineage).map_err(refusal)?;
     account.charge(node, &request_id).await.map_err(refusal)?;
     let deadline = began + time_allowed(node, &parts.headers, &route);
     let limit = version.configuration().limits.body_bytes;
@@ -200,6 +203,7 @@
     Ok(Exchange {
         id: request_id,
         route,
+        evidence,
         service,
         method: parts.method,
         uri,
