--- a/crates/rhubarblanding_mesh/src/process/departures.rs
+++ b/crates/rhubarblanding_mesh/src/process/departures.rs
@@ -280,22 +280,23 @@
 pub(super) async fn learn(node: Arc<Shared>) {
     let mut rng = SmallRng::from_os_rng();
     let mut backoff = Backoff::new(LEARN_BACKOFF);
-    loop {
+    let listed = loop {
         let stored = read_stored(&node).await;
         let is_stored_known = stored.is_ok();
         let hosts = stored.unwrap_or_else(|reason| {
             log::info!(reason = reason; "departures_not_read");
             other_nodes(&node)
         });
+        let listed = hosts.len();
         if learn_held(&node, hosts).await && is_stored_known {
-            break;
+            break listed;
         }
         tokio::time::sleep(backoff.next_delay(&mut rng)).await;
-    }
+    };
     let verdict = node.local.finish_departed(&node);
     let verdict = verdict.map_or_else(|| "none".to_owned(), |verdict| verdict.to_string());
     let departed = node.local.departed().len();
-    log::info!(departed = departed, held_back = verdict; "departures_read");
+    log::info!(departed = departed, held_back = verdict, listed = listed; "departures_read");
     node.announce();
 }
 
