Learn of departures from a list of nodes that may be incomplete

Cause: the process reads the list of nodes and asks those on it for departures. In the outage the leases of all nodes had run out, so the list named the process itself, and nobody left to ask was taken for everybody answered. A late heartbeat then passed for one of a running target.

Change: the list counts as whole only if another node answered, or if the service has answered for the 2.5 s in which living nodes restore their entries. A node that has run for 3 s tells which others it knows, and those are asked, too; so are the nodes that the membership knows. A node that holds a departure tells it to each process that it sees on the host, so that an answer that came too late or from too few corrects itself. A node that knows no other lists the nodes every 2.5 s instead of every 10 s.

--- a/crates/rhubarblanding_mesh/src/process/member.rs
+++ b/crates/rhubarblanding_mesh/src/process/member.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 
 use super::shared::Shared;
-use super::{configuration, message};
+use super::{configuration, departures, message};
 use crate::request::GOSSIP_PATH;
 
 /// Ticks the membership whenever it is due; runs until the process ends.
@@ -32,13 +32,14 @@
     }
 }
 
-fn on_target(node: &Shared, event: &str, info: TargetInfo, health: Health) {
+fn on_target(node: &Arc<Shared>, event: &str, info: TargetInfo, health: Health) {
     log::info!(
         host:% = info.host, service:% = info.service, state:% = info.state,
         slots = info.slots, incarnation = info.incarnation.0, health:% = health;
         "{event}"
     );
     node.quotas.see(node.clock.now(), &info);
+    departures::tell_host(node, &info);
     node.targets.upsert(info);
 }
 
--- a/crates/rhubarblanding_mesh/src/process/message.rs
+++ b/crates/rhubarblanding_mesh/src/process/message.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Uri};
+use http::{Method, Request, Response, Uri};
 use http_body_util::{BodyExt, Collected, Full, Limited};
 use rhubarblanding_core::prelude::*;
 use serde::Serialize;
@@ -26,7 +26,8 @@
     });
 }
 
-/// Sends a message to the node on `to` over a connection of `peers` and returns its answer, of at most `max_bytes`.
+/// Sends a message to the node on `to` over a connection of `peers` and returns its answer, with a
+/// body of at most `max_bytes`.
 ///
 /// # Errors
 ///
@@ -37,11 +38,12 @@
     path: &str,
     msg: &impl Serialize,
     max_bytes: usize,
-) -> Result<Bytes, PeerError> {
+) -> Result<Response<Bytes>, PeerError> {
     let req = build(to, path, msg).ok_or(PeerError::NotSent)?;
-    let resp = peers.send(to.0, req).await?;
-    let body = Limited::new(resp.into_body(), max_bytes).collect().await;
-    body.map(Collected::to_bytes).map_err(|_| PeerError::Lost)
+    let (parts, body) = peers.send(to.0, req).await?.into_parts();
+    let body = Limited::new(body, max_bytes).collect().await;
+    let body = body.map(Collected::to_bytes).map_err(|_| PeerError::Lost)?;
+    Ok(Response::from_parts(parts, body))
 }
 
 fn build(to: HostId, path: &str, msg: &impl Serialize) -> Option<Request<Full<Bytes>>> {
--- a/crates/rhubarblanding_mesh/src/process/mod.rs
+++ b/crates/rhubarblanding_mesh/src/process/mod.rs
@@ -7,7 +7,6 @@
 mod events;
 mod evidence;
 mod freshness;
-mod held;
 mod instance;
 mod lineage;
 mod local;
@@ -28,12 +27,15 @@
 mod targets;
 
 pub use crash::CrashWatch;
-pub use departures::{DepartureMessage, DepartureRecord, Departures};
+pub(crate) use departures::PEERS_HEADER;
+pub use departures::{
+    DepartureAnswer, DepartureMessage, DepartureRecord, Departures, HeldDepartures, InvalidPeers,
+    KnownPeers,
+};
 pub use events::{RefusalStage, RetryReason};
 pub use evidence::Evidence;
 pub use freshness::FreshnessState;
 pub(crate) use freshness::{FRESHNESS_HEADER, ask_along, learn, word};
-pub use held::HeldDepartures;
 pub use instance::{Confirmation, InstanceTracker, ReportVerdict};
 pub use lineage::{Lineage, RunningRequests};
 pub use local::LocalTarget;
--- a/crates/rhubarblanding_mesh/src/process/quota.rs
+++ b/crates/rhubarblanding_mesh/src/process/quota.rs
@@ -320,11 +320,11 @@
 
 async fn post(node: &Shared, ask: &QuotaAsk) -> Result<Reply, Unanswered> {
     let asked = message::ask(&node.peers, ask.to, QUOTA_PATH, &ask.msg, REPLY_MAX_BYTES).await;
-    let body = asked.map_err(|e| match e {
+    let resp = asked.map_err(|e| match e {
         PeerError::Refused => Unanswered::Refused,
         PeerError::NotSent | PeerError::Lost => Unanswered::Silent,
     })?;
-    serde_json::from_slice(&body).map_err(|e| {
+    serde_json::from_slice(resp.body()).map_err(|e| {
         log::warn!(host:% = ask.to, reason:% = e; "quota_answer_invalid");
         Unanswered::Silent
     })
--- a/crates/rhubarblanding_mesh/src/process/registration.rs
+++ b/crates/rhubarblanding_mesh/src/process/registration.rs
@@ -14,6 +14,7 @@
 use rhubarblanding_store::{CasOutcome, Key, LeaseId, ListEntry, Revision, StoreError};
 use tokio::sync::watch;
 
+use super::member::other_nodes;
 use super::shared::Shared;
 use crate::protocol::{Instance, InstanceId};
 
@@ -25,6 +26,9 @@
 const NODE_TTL: Duration = Duration::from_secs(10);
 /// Time between two lease renewals: three of them may be lost.
 const RENEW_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Time from the return of the key-value service until all living nodes that reach it have restored
+/// their entries: [`RETRY_INTERVAL`], and some calls.
+pub(super) const RESTORE_TIME: Duration = Duration::from_millis(2_500);
 /// Time between two reads of the addresses of all nodes, which reconnect nodes after a network
 /// partition. Reads after the first may be some seconds old.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
@@ -71,8 +75,13 @@
             Ok(held) => {
                 lease = Some(held);
                 has_failed = false;
-                let is_due = listed_at
-                    .is_none_or(|at: MonoTime| node.clock.now().since(at) >= LIST_INTERVAL);
+                // Entries of living nodes may not be restored yet.
+                let interval = match other_nodes(&node).is_empty() {
+                    true => RENEW_INTERVAL,
+                    false => LIST_INTERVAL,
+                };
+                let is_due =
+                    listed_at.is_none_or(|at: MonoTime| node.clock.now().since(at) >= interval);
                 if is_due && list_nodes(&node, &listed).await {
                     listed_at = Some(node.clock.now());
                 }
@@ -81,8 +90,11 @@
             Err(report) => {
                 let e = *report.current_context();
                 log::info!(reason:% = e; "registration_failed");
-                if matches!(e, StoreError::LeaseLapsed | StoreError::EraChanged) {
+                if matches!(e, StoreError::LeaseLapsed | StoreError::EraChanged) && lease.is_some()
+                {
+                    // The service answers: the entry is restored at once.
                     lease = None;
+                    continue;
                 }
                 match std::mem::replace(&mut has_failed, true) {
                     false => FIRST_RETRY,
--- a/crates/rhubarblanding_mesh/src/request/peer.rs
+++ b/crates/rhubarblanding_mesh/src/request/peer.rs
@@ -18,7 +18,7 @@
 use super::serve::serve_local;
 use super::small_body::read_logged;
 use crate::connection::Payload;
-use crate::process::{DepartureMessage, FRESHNESS_HEADER, Shared, StopMessage, word};
+use crate::process::{DepartureMessage, FRESHNESS_HEADER, PEERS_HEADER, Shared, StopMessage, word};
 
 /// Maximum size of a membership message, in bytes.
 const GOSSIP_MAX_BYTES: usize = 4 << 20;
@@ -127,7 +127,7 @@
 }
 
 /// Answers another node's message about departures.
-async fn receive_departures(node: &Shared, body: Incoming) -> Response<Payload> {
+async fn receive_departures(node: &Arc<Shared>, body: Incoming) -> Response<Payload> {
     let invalid = || super::refusal(Refusal::new(ErrorKind::InvalidRequest));
     let Some(body) = read_logged(
         body,
@@ -146,13 +146,18 @@
             return invalid();
         }
     };
-    let Some(records) = node.departures.receive(node, msg) else {
+    let Some(answer) = node.departures.receive(node, msg) else {
         return super::refusal(Refusal::new(ErrorKind::NodeDraining));
     };
-    match serde_json::to_vec(&records) {
-        Ok(text) => Response::new(Payload::buffered(text.into())),
-        Err(_) => no_content(),
+    let Ok(text) = serde_json::to_vec(&answer.departed) else {
+        return no_content();
+    };
+    let mut resp = Response::new(Payload::buffered(text.into()));
+    let peers = answer.peers.map(|peers| peers.to_string());
+    if let Some(Ok(peers)) = peers.map(HeaderValue::try_from) {
+        resp.headers_mut().insert(PEERS_HEADER, peers);
     }
+    resp
 }
 
 /// Handles the message of a stopping node whose requests wait here.
