Take an answer whose status is none for a failure

Cause: the HTTP library takes any three digits for a status, and an answer was told from a failure by its first digit only: what is neither 4xx nor 5xx had worked. Other status lines that are none (000 to 099, one, two or four digits, letters, signs, blanks, HTTP/0.9 and unknown versions) fail in the library.

Change: a final status is one of 200 to 599 (RFC 9110, section 15), at the target's connection and for the answer of another node. Anything else is as good as no answer: a request that may run once gets 502, another one goes to a second target, the connection is closed, and none is used again for a while. target_failed names it (invalid_status), peer_answer_invalid the node.

--- a/crates/rhubarblanding_mesh/src/connection/backend.rs
+++ b/crates/rhubarblanding_mesh/src/connection/backend.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header};
+use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -58,6 +58,21 @@
     Lost,
     /// The target sent something that is not an answer to the request.
     Garbled,
+    /// The target sent a status that is none.
+    InvalidStatus,
+}
+
+impl ExchangeError {
+    /// Returns `true` if bytes that are no answer may follow on any connection to the target.
+    pub fn is_garbled(self) -> bool {
+        matches!(self, Self::Garbled | Self::InvalidStatus)
+    }
+}
+
+/// Returns `true` if a final answer may have this status (RFC 9110, section 15). Interim answers are
+/// read over; no request asks to switch protocols.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
 }
 
 impl From<hyper::Error> for ExchangeError {
@@ -115,6 +130,9 @@
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         let resp = self.sender.send_request(req).await?;
+        if !is_final_status(resp.status()) {
+            return Err(ExchangeError::InvalidStatus);
+        }
         self.idle_timeout = idle_timeout(resp.headers());
         Ok(resp)
     }
--- a/crates/rhubarblanding_mesh/src/connection/mod.rs
+++ b/crates/rhubarblanding_mesh/src/connection/mod.rs
@@ -9,7 +9,7 @@
 mod socket;
 
 pub use ahead::{AheadCounters, Arrival, RequestBody, Turn};
-pub use backend::{BackendConn, BackendPool, ConnectError, ExchangeError};
+pub use backend::{BackendConn, BackendPool, ConnectError, ExchangeError, is_final_status};
 pub use buffers::{Buffer, BufferPool};
 pub use payload::{Payload, PayloadError};
 pub use peer::{PeerError, PeerPool};
--- a/crates/rhubarblanding_mesh/src/request/forward.rs
+++ b/crates/rhubarblanding_mesh/src/request/forward.rs
@@ -15,7 +15,7 @@
 };
 use super::serve::{STREAM_GRACE, serve_local};
 use super::small_body::{self, SmallBody};
-use crate::connection::{Payload, PeerError};
+use crate::connection::{Payload, PeerError, is_final_status};
 use crate::process::{Shared, ask_along, learn};
 
 /// Sends a request to the node on `host`, which may be this node.
@@ -34,7 +34,7 @@
     match node.peers.send(host.0, req).await {
         Ok(mut resp) => {
             learn(node, host, resp.headers_mut(), asked_at);
-            receive(node, resp, limit).await
+            receive(node, host, resp, limit).await
         }
         Err(PeerError::NotSent | PeerError::Refused) => {
             reply(HopOutcome::Refused(Refusal::new(ErrorKind::ConnectFailed)))
@@ -69,7 +69,12 @@
     Some(req)
 }
 
-async fn receive(node: &Shared, resp: Response<Incoming>, limit: Instant) -> HopReply {
+async fn receive(
+    node: &Shared,
+    host: HostId,
+    resp: Response<Incoming>,
+    limit: Instant,
+) -> HopReply {
     let (mut parts, body) = resp.into_parts();
     let status = parts
         .headers
@@ -81,6 +86,10 @@
         return reply(HopOutcome::Lost(ErrorKind::Internal));
     };
     let outcome = match status.result {
+        HopResult::Answered if !is_final_status(parts.status) => {
+            log::warn!(host:% = host, status = parts.status.as_u16(); "peer_answer_invalid");
+            HopOutcome::Lost(ErrorKind::ConnectionLost)
+        }
         HopResult::Answered => read_answer(node, parts, body, limit).await,
         HopResult::Refused => HopOutcome::Refused(status.refusal),
         HopResult::Shed => HopOutcome::Shed(status.refusal),
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -232,7 +232,7 @@
             }
             Err(ExchangeError::NotSent) => {}
             Err(e) => {
-                if e == ExchangeError::Garbled {
+                if e.is_garbled() {
                     node.backend.record_garbled();
                 }
                 node.log_target_failure(id.as_ref(), &e.to_string());
@@ -335,7 +335,7 @@
     let body = match read.await {
         Ok(body) => body,
         Err(e) => {
-            if ExchangeError::from(e) == ExchangeError::Garbled {
+            if ExchangeError::from(e).is_garbled() {
                 node.backend.record_garbled();
             }
             node.log_target_failure(id, "answer_cut");
