Pass on a success only with a target's signature

Change: the protocol names the header. A success without it is as good as no answer, as one with an encoding already is, and target_failed names it (unsigned_success).

--- a/crates/rhubarblanding_mesh/src/protocol/mod.rs
+++ b/crates/rhubarblanding_mesh/src/protocol/mod.rs
@@ -26,6 +26,8 @@
     pub expected_instance: HeaderName,
     /// Marks the answer to a request that the target did not run.
     pub not_executed: HeaderName,
+    /// Signature of a target, without which its success counts for nothing.
+    pub signature: HeaderName,
     /// Service on the host at which the request entered.
     pub caller_service: HeaderName,
     /// Key of the client's account; a secret, which no target receives.
--- a/crates/rhubarblanding_mesh/src/request/serve.rs
+++ b/crates/rhubarblanding_mesh/src/request/serve.rs
@@ -386,6 +386,12 @@
         node.log_target_failure(id, "encoded_answer");
         return Some(HopOutcome::Lost(ErrorKind::ConnectionLost));
     }
+    let signature = &node.protocol.headers().signature;
+    if parts.status.is_success() && !parts.headers.contains_key(signature) {
+        node.backend.record_garbled();
+        node.log_target_failure(id, "unsigned_success");
+        return Some(HopOutcome::Lost(ErrorKind::ConnectionLost));
+    }
     if is_not_run(node, parts.status, &parts.headers) {
         if parts.status == StatusCode::MISDIRECTED_REQUEST {
             node.local.record_misdirected(node, &instance.id);
--- a/crates/rhubarblanding_mesh/tests/mesh/protocol.rs
+++ b/crates/rhubarblanding_mesh/tests/mesh/protocol.rs
@@ -43,6 +43,7 @@
                 deadline_ms: name("t-deadline"),
                 expected_instance: name("t-expected"),
                 not_executed: name("t-not-run"),
+                signature: name("t-signature"),
                 caller_service: name("t-caller"),
                 credential: name("t-key"),
                 account: name("t-account"),
