Count the time of the key-value service's answers anew after a failed read

A starting node that hears no other takes the list of nodes for whole once the service has answered for as long as living nodes take to restore their entries. The time ran on from the first answer, though an outage in which entries lapse may have come after it. It begins anew after a read that failed.

--- a/crates/rhubarblanding_mesh/src/process/departures/learn.rs
+++ b/crates/rhubarblanding_mesh/src/process/departures/learn.rs
@@ -55,6 +55,8 @@
             Ok(hosts) => (hosts, true),
             Err(reason) => {
                 log::info!(reason = reason; "departures_not_read");
+                // Entries may lapse until it answers again.
+                first_read = None;
                 (Vec::new(), false)
             }
         };
