--- a/review/standins-3/rig.py
+++ b/review/standins-3/rig.py
@@ -139,7 +139,7 @@
         for key in [k for k, item in self.items.items() if item["lease_id"] == lease and lease]:
             self.remove(key)
 
-    def expire(self, pause=0.0):
+    def expire(self):
         now = time.monotonic()
         for lease, (_, end) in list(self.leases.items()):
             if end <= now:
@@ -339,7 +339,7 @@
     def at(self, name):
         return self.ip, self.ports[name]
 
-    def write_settings(self, **more):
+    def write_settings(self, contracts=(), bounds=None, **more):
         bind = {n: f"{self.ip}:{self.ports[n]}"
                 for n in ("inbound", "outbound", "readiness_address", "control")}
         zones = {zone: "north" for zone in self.rig.zones}
@@ -361,6 +361,8 @@
             "platform": {"address": f"{self.store.ip}:{self.store.port}", "form": "kv", "writes_per_s": 400,
                          "reads_per_s": 2000, "retention_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000},
         }
+        settings["active_contracts"].extend(contracts)
+        settings["bounds"].update(bounds or {})
         settings.update(more)
         with open(self.settings, "w") as file:
             json.dump(settings, file)
