--- a/review/standins-3/rig.py
+++ b/review/standins-3/rig.py
@@ -486,6 +486,48 @@
             shutil.rmtree(self.dir, ignore_errors=True)
 
 
+class Tenant:
+    """Clients of a tenant that send at a steady rate, each request once, on kept connections."""
+
+    def __init__(self, rig, key, path):
+        self.rig, self.key, self.path = rig, key, path
+        self.sent, self.statuses, self.idle = {}, {}, {}
+
+    async def send(self, entry):
+        id, status, writer = f"{random.getrandbits(64):016x}", None, None
+        idle = self.idle.setdefault(entry.number, [])
+        self.sent[id] = time.time()
+        try:
+            reader, writer = idle.pop() if idle else await asyncio.open_connection(*entry.at("outbound"))
+            writer.write(head_bytes(f"GET {self.path} HTTP/1.1", [
+                ("Host", HOST), ("X-Rhubarblanding-Request-Id", id), ("X-Rhubarblanding-Deadline-Ms", "3000"),
+                ("X-Rhubarblanding-Credential", self.key)]))
+            first, headers = await asyncio.wait_for(read_head(reader), 3)
+            await read_body(reader, headers)
+            status = first.split(" ")[1]
+            idle.append((reader, writer))
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            if writer:
+                writer.transport.abort()
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+
+    async def send_at(self, per_s, seconds, entries):
+        self.rig.log(f"tenant   sends {per_s:.0f} a second for {seconds} s at {len(entries)} machines")
+        began, tasks = time.time(), []
+        for number in range(int(per_s * seconds)):
+            await asyncio.sleep(max(0.0, began + number / per_s - time.time()))
+            tasks.append(asyncio.ensure_future(self.send(entries[number % len(entries)])))
+        await asyncio.gather(*tasks)
+        self.rig.log(f"answers  {self.statuses}")
+
+    def most_in_window(self, seconds):
+        """Most requests that were both sent and arrived in some window."""
+        runs = [run for target in self.rig.targets for run in target.runs]
+        pairs = sorted((self.sent[run[1]], run[0]) for run in runs if run[1] in self.sent)
+        return max((sum(1 for _, arrived in pairs[i:] if arrived <= start + seconds)
+                    for i, (start, _) in enumerate(pairs)), default=0)
+
+
 def route(name, service, kind="safe", timeout_ms=2000, max_attempts=2, **more):
     return dict({"name": name, "host": HOST, "path_prefix": f"/{name}/", "kind": kind,
                  "timeout_ms": timeout_ms, "aim_ms": 500, "priority": 1, "service": service,
