--- a/review/standins-3/rig.py
+++ b/review/standins-3/rig.py
@@ -541,19 +541,23 @@
                             "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}, **more)
 
 
-def main(folder, services, run, seconds=110, **settings):
+def main(folder, services, run, seconds=110):
     """Runs a case: `run(rig)` returns whether the rule held."""
 
     async def whole():
-        rig = Rig(folder, services)
+        rig = None
         try:
+            rig = Rig(folder, services)
             held = await asyncio.wait_for(run(rig), seconds)
             rig.log("result   the rule held" if held else "result   the rule was broken")
             return HELD if held else BROKEN
-        except (CouldNotRun, asyncio.TimeoutError, OSError) as e:
-            rig.log(f"result   the case could not run: {type(e).__name__} {e}")
+        except Exception as e:  # Whatever it is, it says nothing of the rule.
+            text = f"result   the case could not run: {type(e).__name__} {e}"
+            rig.log(text) if rig else print(text)
             return COULD_NOT_RUN
         finally:
-            await rig.stop()
+            if rig:
+                await rig.stop()
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     sys.exit(asyncio.run(whole()))
